Read the deployment's settings in one place, shared with the adapter

internal/config turns the settings' JSON into the module's Config and its name tables with encoding/json; the adapter passes its settings through the same function. Key folding is shared too.

--- /dev/null
+++ b/internal/config/config.go
@@ -0,0 +1,130 @@
+// Package config is the one place that reads the scheduler's configuration: the
+// LB_* variables and the file that LB_CONFIG names. It checks every value, gives
+// defaults, and names the faulty key in its errors. The deployment's settings
+// become the decision module's Config here, for the real scheduler and for the
+// simulator's adapter.
+package config
+
+import (
+	"encoding/json"
+	"fmt"
+	"net"
+	"os"
+	"strconv"
+)
+
+// What a scheduler may use at most, whatever it is offered.
+const (
+	maxMemoryMB = 192
+	maxSockets  = 1024
+	minMemoryMB = 32
+	minSockets  = 64
+)
+
+// A Scheduler is the whole configuration of one scheduler.
+type Scheduler struct {
+	Name      string
+	Listen    string // address:port for submitters
+	Discovery string // address:port of discovery
+	Seed      uint64
+	MemoryMB  int
+	Sockets   int             // file descriptors
+	Known     json.RawMessage // the machine list as last known, in discovery's form; may be empty
+	Settings  *Settings
+}
+
+type file struct {
+	Name      string `json:"name"`
+	Listen    string `json:"listen"`
+	Discovery string `json:"discovery"`
+	Seed      string `json:"seed"`
+	Limits    struct {
+		MemoryMB float64 `json:"memory_mb"`
+		Sockets  int     `json:"sockets"`
+	} `json:"limits"`
+	Known    json.RawMessage `json:"known"`
+	Settings json.RawMessage `json:"settings"`
+}
+
+// Load reads the configuration from the environment that getenv shows. A
+// variable stands above the file's value of the same name.
+func Load(getenv func(string) string) (*Scheduler, error) {
+	path := getenv("LB_CONFIG")
+	if path == "" {
+		return nil, fmt.Errorf("LB_CONFIG: not set; it names the configuration file")
+	}
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil, fmt.Errorf("LB_CONFIG: %w", err)
+	}
+	var f file
+	if err := json.Unmarshal(text, &f); err != nil {
+		return nil, fmt.Errorf("LB_CONFIG: %w", keyError(err))
+	}
+	s := &Scheduler{Name: f.Name, Listen: f.Listen, Discovery: f.Discovery, Known: f.Known}
+	for _, v := range []struct {
+		key string
+		to  *string
+	}{{"LB_NAME", &s.Name}, {"LB_LISTEN", &s.Listen}, {"LB_DISCOVERY", &s.Discovery}} {
+		if x := getenv(v.key); x != "" {
+			*v.to = x
+		}
+	}
+	if s.Name == "" {
+		s.Name = "foxlift"
+	}
+	if err := checkAddress("listen (LB_LISTEN)", s.Listen, 0); err != nil {
+		return nil, err
+	}
+	if err := checkAddress("discovery (LB_DISCOVERY)", s.Discovery, 1); err != nil {
+		return nil, err
+	}
+	if f.Seed != "" {
+		if s.Seed, err = strconv.ParseUint(f.Seed, 16, 64); err != nil {
+			return nil, fmt.Errorf("seed: %q is not a number of up to 16 hex digits", f.Seed)
+		}
+	}
+	if s.MemoryMB, err = limit("limits.memory_mb", int(f.Limits.MemoryMB), minMemoryMB, maxMemoryMB); err != nil {
+		return nil, err
+	}
+	if s.Sockets, err = limit("limits.sockets", f.Limits.Sockets, minSockets, maxSockets); err != nil {
+		return nil, err
+	}
+	if len(f.Settings) == 0 {
+		return nil, fmt.Errorf("settings: not given")
+	}
+	if s.Settings, err = ParseSettings(f.Settings); err == nil {
+		err = s.Settings.checkReal()
+	}
+	if err != nil {
+		return nil, fmt.Errorf("settings.%w", err)
+	}
+	// The platform's protocol has no messages between schedulers.
+	s.Settings.Module.MayMessage = false
+	return s, nil
+}
+
+// limit applies a default and the most that a scheduler may use.
+func limit(key string, given, least, most int) (int, error) {
+	if given == 0 {
+		return most, nil
+	}
+	if given < least {
+		return 0, fmt.Errorf("%s: %d is under %d", key, given, least)
+	}
+	return min(given, most), nil
+}
+
+func checkAddress(key, s string, leastPort int) error {
+	if s == "" {
+		return fmt.Errorf("%s: not given", key)
+	}
+	host, port, err := net.SplitHostPort(s)
+	if err != nil || host == "" {
+		return fmt.Errorf("%s: %q is not address:port", key, s)
+	}
+	if n, err := strconv.Atoi(port); err != nil || n < leastPort || n > 65535 {
+		return fmt.Errorf("%s: %q has no port from %d to 65535", key, s, leastPort)
+	}
+	return nil
+}
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -4,7 +4,6 @@
 
 import (
 	"encoding/base64"
-	"encoding/hex"
 	"errors"
 	"fmt"
 	"strconv"
@@ -12,6 +11,7 @@
 	"github.com/valyala/fastjson"
 
 	"github.com/vatu-meals/cobaltgate"
+	"github.com/vatu-meals/cobaltgate/internal/config"
 )
 
 // A Handler receives the decoded messages of a batch in order. Its errors end
@@ -306,31 +306,13 @@
 	return nil
 }
 
-// key reads the subject of a request. One that is not 16 hex digits is folded
-// into a number.
+// key reads the subject of a request.
 func key(v *fastjson.Value) (uint64, error) {
 	if absent(v) {
 		return 0, nil
 	}
 	s, err := text(v, "item")
-	if err != nil {
-		return 0, err
-	}
-	var raw [8]byte
-	if len(s) == 16 {
-		if _, err := hex.Decode(raw[:], s); err == nil {
-			k := uint64(0)
-			for _, b := range raw {
-				k = k<<8 | uint64(b)
-			}
-			return k, nil
-		}
-	}
-	k := uint64(14695981039346656037)
-	for _, b := range s {
-		k = (k ^ uint64(b)) * 1099511628211
-	}
-	return k, nil
+	return config.ParseKey(s), err
 }
 
 var listKinds = map[string]cobaltgate.ListKind{
