--- /dev/null
+++ b/internal/core/book.go
@@ -0,0 +1,51 @@
+package core
+
+import "github.com/vatu-meals/cobaltgate"
+
+// Stage 6, book: answers and ends of claims are counted, told to the module, and
+// the job leaves the table with the last of them.
+
+var verdictCounters = [...]string{
+	Served: "jobs.served", Refused: "jobs.refused", Failed: "jobs.failed", Rejected: "jobs.rejected",
+}
+
+var codeCounters = [...]string{
+	cobaltgate.Served: "claims.served", cobaltgate.Erred: "claims.erred", cobaltgate.Full: "claims.turned_away",
+	cobaltgate.TimedOut: "claims.timed_out", cobaltgate.Unreachable: "claims.unreachable",
+	cobaltgate.Reset: "claims.reset", cobaltgate.Cancelled: "claims.cancelled", cobaltgate.NotSent: "claims.not_sent",
+}
+
+// answer gives the job's one answer; a second one goes nowhere.
+func (c *Core) answer(j *job, a Answer) {
+	if j.answered {
+		return
+	}
+	j.answered = true
+	j.overdue.Stop()
+	delete(c.open, j.ID)
+	c.counters.Add(verdictCounters[a.Verdict])
+	j.Submitter.Answer(a)
+	c.forget(j)
+}
+
+// abandon answers a job that the module has not ended, and tells the module.
+func (c *Core) abandon(j *job, a Answer) {
+	c.news = append(c.news, cobaltgate.Event{Kind: cobaltgate.EventClientLeft, ID: j.number})
+	c.answer(j, a)
+}
+
+func (c *Core) bookClaim(cl *claim, r Report) {
+	c.counters.Add(codeCounters[r.Code])
+	e := cl.event(cobaltgate.EventOutcome)
+	e.Code, e.Took, e.Ended = r.Code, c.clock.Now()-cl.sent, cl.job.answered
+	e.HasLoad, e.Load = r.HasLoad, r.Load
+	c.news = append(c.news, e)
+	c.forget(cl.job)
+}
+
+// forget drops a job that is answered and has no claim out.
+func (c *Core) forget(j *job) {
+	if j.answered && j.out == 0 {
+		delete(c.jobs, j.number)
+	}
+}
--- /dev/null
+++ b/internal/core/core.go
@@ -0,0 +1,167 @@
+// Package core runs the decision module as a live scheduler. One goroutine owns
+// the Dispatcher, the table of jobs and claims, and the chain of stages that a
+// job passes: take in, admit, route, send, relay, book (a file each). Everything
+// else talks to it by events. It knows no protocol: a front brings jobs as Job
+// values and is answered through Submitter; execute nodes are reached through
+// Nodes, the machine list through MachineList. It decides nothing either: it
+// reports what happens to the module and carries out the actions it returns.
+package core
+
+import (
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/vatu-meals/cobaltgate"
+	"github.com/vatu-meals/cobaltgate/internal/config"
+	"github.com/vatu-meals/cobaltgate/internal/counters"
+)
+
+// Nodes reaches the execute nodes. Its methods are called on the core's
+// goroutine and must not block.
+type Nodes interface {
+	// Send starts a claim. It calls report with what happens, from any
+	// goroutine, the last time with Ended set. withdraw ends the claim early
+	// by closing its connection.
+	Send(node string, job *Job, remaining time.Duration, report func(Report)) (withdraw func())
+	// CloseIdle closes the idle connections to a node.
+	CloseIdle(node string)
+	// Probe asks a node for a sign of life and calls report once.
+	Probe(node string, report func(Report))
+}
+
+// MachineList is the watch on discovery's list.
+type MachineList interface {
+	// Watch starts the watch. What it learns comes back through Core.Machines,
+	// a failure as ListFailed; after a failure it rests until called again.
+	Watch()
+}
+
+// A Report is what a claim or a probe has to tell.
+type Report struct {
+	Progress bool // the job makes progress (neither Progress nor Ended: it started)
+	Ended    bool
+	Code     cobaltgate.Code // how it ended
+	Result   []byte          // of a served job
+	HasLoad  bool
+	Load     [cobaltgate.MaxGauges]float64
+}
+
+// An event is something that the core's goroutine learns of.
+type event interface{ apply(*Core) }
+
+// A Core is one scheduler. Create it with New, then call Run.
+type Core struct {
+	settings *config.Settings
+	clock    Clock
+	counters *counters.Set
+	nodes    Nodes
+	machines MachineList
+	module   *cobaltgate.Dispatcher
+
+	inbox   chan event
+	stopped chan struct{}
+	stop    sync.Once
+	ready   atomic.Bool
+
+	// Owned by Run's goroutine.
+	jobs     map[uint64]*job
+	open     map[string]*job // taken and not yet answered, by the submitter's id
+	numbered uint64
+	news     []cobaltgate.Event // for the module's next step
+	states   map[string]cobaltgate.WorkerState
+}
+
+// New returns a Core. Its parts are set by Connect before Run.
+func New(s *config.Settings, seed uint64, clock Clock, set *counters.Set) (*Core, error) {
+	module, err := cobaltgate.New(s.Module, seed)
+	if err != nil {
+		return nil, err
+	}
+	return &Core{
+		settings: s, clock: clock, counters: set, module: module,
+		inbox: make(chan event, 1024), stopped: make(chan struct{}),
+		jobs: map[uint64]*job{}, open: map[string]*job{}, states: map[string]cobaltgate.WorkerState{},
+	}, nil
+}
+
+// Connect sets what the core acts through.
+func (c *Core) Connect(n Nodes, m MachineList) { c.nodes, c.machines = n, m }
+
+// Run is the core's goroutine. It returns after Stop. known is the machine list
+// as last known before the start.
+func (c *Core) Run(known []cobaltgate.Worker) {
+	machinesTold{cobaltgate.ListSaved, known}.apply(c)
+	c.route()
+	for {
+		select {
+		case e := <-c.inbox:
+			e.apply(c)
+		case <-c.stopped:
+			return
+		}
+		// What has come in meanwhile goes into the same step.
+		for more := len(c.inbox); more > 0; more-- {
+			(<-c.inbox).apply(c)
+		}
+		c.route()
+	}
+}
+
+// Stop ends Run.
+func (c *Core) Stop() { c.stop.Do(func() { close(c.stopped) }) }
+
+// post hands an event to Run's goroutine.
+func (c *Core) post(e event) {
+	select {
+	case c.inbox <- e:
+	case <-c.stopped:
+	}
+}
+
+// after posts an event when a wait of its own is over.
+func (c *Core) after(wait int64, e event) *time.Timer {
+	return time.AfterFunc(time.Duration(wait), func() { c.post(e) })
+}
+
+// TakeIn brings a job. It is answered once, through its Submitter.
+func (c *Core) TakeIn(j *Job) { c.post(jobArrived{j}) }
+
+// Left says that a job's submitter has gone away. The answer still comes.
+func (c *Core) Left(j *Job) { c.post(submitterLeft{j}) }
+
+// Machines brings news of the machine list.
+func (c *Core) Machines(kind cobaltgate.ListKind, entries []cobaltgate.Worker) {
+	c.post(machinesTold{kind, entries})
+}
+
+// Ready reports whether jobs can be taken: the list has an active machine.
+func (c *Core) Ready() bool { return c.ready.Load() }
+
+// machinesTold is news of the machine list.
+type machinesTold struct {
+	kind    cobaltgate.ListKind
+	entries []cobaltgate.Worker
+}
+
+func (e machinesTold) apply(c *Core) {
+	c.news = append(c.news, cobaltgate.Event{Kind: cobaltgate.EventList, List: e.kind, Workers: e.entries})
+	if e.kind == cobaltgate.ListFailed {
+		c.counters.Add("machines.failed")
+		return // the old list remains
+	}
+	c.counters.Add("machines.told")
+	if e.kind != cobaltgate.ListChanges {
+		clear(c.states)
+	}
+	for _, w := range e.entries {
+		c.states[w.ID] = w.State
+	}
+	live := 0
+	for _, s := range c.states {
+		if s == cobaltgate.Live {
+			live++
+		}
+	}
+	c.ready.Store(live > 0)
+}
--- /dev/null
+++ b/internal/core/job.go
@@ -0,0 +1,75 @@
+package core
+
+import (
+	"time"
+
+	"github.com/vatu-meals/cobaltgate"
+)
+
+// A Job is a request that a front has read in full.
+type Job struct {
+	ID        string // given by the submitter; no two open jobs have the same
+	Class     string
+	Tenant    string
+	Arrived   int64         // on the core's clock
+	Remaining time.Duration // how long the submitter waits from then on
+	Key       uint64        // what it is about; 0 if nothing
+	Slots     float64
+	Memory    float64
+	Repeat    bool // the submitter says that it tried before
+	Payload   any  // for Nodes; the core does not look at it
+	Submitter Submitter
+}
+
+// A Submitter waits for a job's answer.
+type Submitter interface {
+	// Answer brings the one answer. It is called on the core's goroutine and
+	// must not block.
+	Answer(Answer)
+}
+
+// A Verdict is the kind of an answer.
+type Verdict uint8
+
+const (
+	Served   Verdict = iota
+	Refused          // another try is harmless
+	Failed           // no promise is made
+	Rejected         // bad input, never taken: see Reason
+)
+
+// An Answer is the final word on a job.
+type Answer struct {
+	Verdict    Verdict
+	Result     []byte        // if Served
+	RetryAfter time.Duration // if Refused; 0 means no advice
+	Reason     string        // if Rejected or Failed
+}
+
+// A job is a Job in the core's table. It stays there until it is answered and
+// its last claim has ended.
+type job struct {
+	*Job
+	number   uint64
+	deadline int64
+	answered bool
+	claims   []*claim // by attempt
+	out      int      // claims that have not ended
+	overdue  *time.Timer
+}
+
+// A claim is one attempt at running a job on an execute node.
+type claim struct {
+	job      *job
+	attempt  int
+	node     string
+	sent     int64
+	done     bool
+	limit    *time.Timer
+	withdraw func()
+}
+
+// event returns an event about the claim for the module.
+func (cl *claim) event(kind cobaltgate.EventKind) cobaltgate.Event {
+	return cobaltgate.Event{Kind: kind, ID: cl.job.number, Attempt: cl.attempt, Worker: cl.node}
+}
--- /dev/null
+++ b/internal/core/relay.go
@@ -0,0 +1,43 @@
+package core
+
+import "github.com/vatu-meals/cobaltgate"
+
+// Stage 5, relay: what execute nodes tell goes to the module, and the first
+// result to the submitter.
+
+type claimReported struct {
+	claim  *claim
+	report Report
+}
+
+func (e claimReported) apply(c *Core) {
+	cl := e.claim
+	switch {
+	case cl.done: // it was withdrawn or timed out meanwhile
+	case e.report.Ended:
+		c.endClaim(cl, e.report)
+	case e.report.Progress:
+		c.news = append(c.news, cl.event(cobaltgate.EventProgress))
+	default:
+		c.news = append(c.news, cl.event(cobaltgate.EventStarted))
+	}
+}
+
+// endClaim ends a claim once, with one outcome for the module.
+func (c *Core) endClaim(cl *claim, r Report) {
+	if cl.done {
+		return
+	}
+	cl.done = true
+	cl.job.out--
+	if cl.limit != nil {
+		cl.limit.Stop()
+	}
+	if cl.withdraw != nil {
+		cl.withdraw() // no effect on one that has ended by itself
+	}
+	if r.Code == cobaltgate.Served {
+		c.answer(cl.job, Answer{Verdict: Served, Result: r.Result})
+	}
+	c.bookClaim(cl, r)
+}
--- /dev/null
+++ b/internal/core/send.go
@@ -0,0 +1,23 @@
+package core
+
+import "github.com/vatu-meals/cobaltgate"
+
+// Stage 4, send: a claim is made and handed to Nodes. It ends at its limit, which
+// is never past the submitter's patience, whatever the node does.
+func (c *Core) send(j *job, node string, timeout int64) {
+	now := c.clock.Now()
+	cl := &claim{job: j, attempt: len(j.claims), node: node, sent: now}
+	j.claims = append(j.claims, cl)
+	j.out++
+	left := j.deadline - now
+	if j.answered || left <= 0 {
+		c.endClaim(cl, Report{Ended: true, Code: cobaltgate.NotSent})
+		return
+	}
+	c.counters.Add("claims.sent")
+	if timeout <= 0 || timeout > left {
+		timeout = left
+	}
+	cl.limit = c.after(timeout, claimReported{cl, Report{Ended: true, Code: cobaltgate.TimedOut}})
+	cl.withdraw = c.nodes.Send(node, j.Job, j.remaining(now), func(r Report) { c.post(claimReported{cl, r}) })
+}
--- /dev/null
+++ b/internal/core/takein.go
@@ -0,0 +1,69 @@
+package core
+
+import "time"
+
+// Stage 1, take in: a job that a front has read is checked against what holds
+// for any front and gets its place in the table. What does not pass is answered
+// as Rejected, and neither the module nor an execute node hears of it.
+
+type jobArrived struct{ job *Job }
+
+func (e jobArrived) apply(c *Core) {
+	class, tenant, reason := c.check(e.job)
+	if reason != "" {
+		c.counters.Add("jobs.rejected")
+		e.job.Submitter.Answer(Answer{Verdict: Rejected, Reason: reason})
+		return
+	}
+	c.counters.Add("jobs.taken")
+	// A submitter may claim to wait for years: nothing waits longer than its class.
+	longest := c.settings.Module.Classes[class].Deadline
+	wait := min(max(int64(e.job.Remaining), 0), longest)
+	c.numbered++
+	j := &job{Job: e.job, number: c.numbered, deadline: e.job.Arrived + wait}
+	c.jobs[j.number], c.open[j.ID] = j, j
+	// The module answers every job in time. Should it ever not, the submitter
+	// still gets an answer.
+	j.overdue = c.after(j.deadline+c.settings.Module.AnswerGrace-c.clock.Now(), jobOverdue{j})
+	c.admit(j, class, tenant)
+}
+
+// check looks up the job's class and tenant; reason says what is wrong with it.
+func (c *Core) check(j *Job) (class, tenant int, reason string) {
+	class, ok := c.settings.Classes[j.Class]
+	if !ok {
+		return 0, 0, "unknown class"
+	}
+	tenant = -1
+	if len(c.settings.Tenants) > 0 {
+		if tenant, ok = c.settings.Tenants[j.Tenant]; !ok {
+			return 0, 0, "unknown tenant"
+		}
+	}
+	if c.open[j.ID] != nil {
+		return 0, 0, "repeated id"
+	}
+	return class, tenant, ""
+}
+
+type jobOverdue struct{ job *job }
+
+func (e jobOverdue) apply(c *Core) {
+	if !e.job.answered {
+		c.counters.Add("jobs.overdue")
+		c.abandon(e.job, Answer{Verdict: Failed, Reason: "overdue"})
+	}
+}
+
+type submitterLeft struct{ job *Job }
+
+func (e submitterLeft) apply(c *Core) {
+	// The id may be in use by another job, where this one was a repeat of it.
+	if j := c.open[e.job.ID]; j != nil && j.Job == e.job {
+		c.counters.Add("jobs.left")
+		c.abandon(j, Answer{Verdict: Failed, Reason: "the submitter left"})
+	}
+}
+
+// remaining is how long the job's submitter still waits.
+func (j *job) remaining(now int64) time.Duration { return time.Duration(j.deadline - now) }
--- /dev/null
+++ b/internal/platform/attempt.go
@@ -0,0 +1,167 @@
+package platform
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/vatu-meals/cobaltgate"
+	"github.com/vatu-meals/cobaltgate/internal/core"
+)
+
+// An attempt carries out one claim: it connects to the execute node, writes the
+// job and reports what comes back. It never sends a second time, not even on a
+// connection that turns out to be stale: whether to try again is the module's
+// decision.
+type attempt struct {
+	nodes  *nodes
+	ctx    context.Context // ends when the claim is withdrawn
+	node   string
+	job    *core.Job
+	until  time.Time // the submitter waits until then
+	report func(core.Report)
+}
+
+func (a *attempt) run() {
+	a.report(a.carryOut())
+}
+
+func (a *attempt) carryOut() core.Report {
+	addr, ok := a.nodes.list.address(a.node)
+	if !ok {
+		return ended(cobaltgate.NotSent)
+	}
+	conn := a.nodes.reuse(addr)
+	if conn == nil {
+		var err error
+		if conn, err = a.nodes.dial(a.ctx, addr); errors.Is(err, errBudget) {
+			a.nodes.counters.Add("nodes.over_budget")
+			return ended(cobaltgate.NotSent)
+		} else if err != nil {
+			return ended(cobaltgate.Unreachable)
+		}
+	}
+	// The list may have changed since the module decided, above all during a
+	// dial: nothing new goes to a node that drains or is gone.
+	if now, ok := a.nodes.list.address(a.node); !ok || now != addr || a.ctx.Err() != nil {
+		a.nodes.keep(conn)
+		return ended(cobaltgate.NotSent)
+	}
+	// Withdrawing closes the connection: so the node learns of it.
+	stop := context.AfterFunc(a.ctx, func() { conn.Close() })
+	r, reusable := a.exchange(conn)
+	if !stop() || !reusable {
+		a.nodes.discard(conn)
+	} else {
+		a.nodes.keep(conn)
+	}
+	return r
+}
+
+// exchange writes the job and reads the node's answer. reusable says that the
+// connection is at the start of a new request.
+func (a *attempt) exchange(conn *nodeConn) (r core.Report, reusable bool) {
+	head := a.request()
+	if n, err := conn.Write(head); err != nil {
+		if n < len(head) {
+			return ended(cobaltgate.Unreachable), false // a node starts on the last byte
+		}
+		return ended(cobaltgate.Reset), false
+	}
+	m := conn.buf.message(maxResponse)
+	defer m.end()
+	resp, err := http.ReadResponse(m.Reader, nil)
+	if err != nil {
+		return ended(cobaltgate.Reset), false
+	}
+	if resp.StatusCode != http.StatusOK {
+		_, err := io.Copy(io.Discard, resp.Body)
+		return ended(statusCode(resp)), err == nil && !resp.Close && m.Buffered() == 0
+	}
+	r, err = a.readStates(resp.Body)
+	return r, err == nil && !resp.Close && m.Buffered() == 0
+}
+
+// request writes the job as the node reads it.
+func (a *attempt) request() []byte {
+	p := a.job.Payload.(*payload)
+	b := fmt.Appendf(nil, "%s %s HTTP/1.1\r\nHost: %s\r\n", p.method, p.target, a.node)
+	for _, h := range []string{headerID, headerClass, headerTenant, headerLabels, "Content-Type"} {
+		if v := p.header.Get(h); v != "" {
+			b = fmt.Appendf(b, "%s: %s\r\n", h, v)
+		}
+	}
+	b = fmt.Appendf(b, "%s: %s\r\nContent-Length: %d\r\n\r\n",
+		headerRemaining, formatRemaining(time.Until(a.until)), len(p.body))
+	return append(b, p.body...)
+}
+
+// statusCode reads an answer other than 200. Only the protocol's own word proves
+// that the job never ran: any other 503 may come from anywhere.
+func statusCode(resp *http.Response) cobaltgate.Code {
+	turned := resp.StatusCode == http.StatusServiceUnavailable || resp.StatusCode == http.StatusGatewayTimeout
+	if turned && resp.Header.Get(headerTurnedAway) == "1" {
+		return cobaltgate.Full
+	}
+	return cobaltgate.Erred
+}
+
+// A note is one line of a node's answer.
+type note struct {
+	ID     string `json:"id"`
+	State  string `json:"state"`
+	Result string `json:"result"`
+}
+
+var lastStates = map[string]cobaltgate.Code{
+	stateDone: cobaltgate.Served, stateFailed: cobaltgate.Erred,
+	stateReturned: cobaltgate.Full, stateLost: cobaltgate.Reset,
+}
+
+// readStates reads the lines of a node's answer, up to the body's proper end: a
+// body that breaks off serves nothing, whatever it has said. An error means that
+// the connection is of no more use.
+func (a *attempt) readStates(body io.Reader) (core.Report, error) {
+	lines := bufio.NewScanner(body)
+	lines.Buffer(nil, maxResponse)
+	var last *core.Report
+	for lines.Scan() {
+		line := bytes.TrimSpace(lines.Bytes())
+		if len(line) == 0 {
+			continue
+		}
+		var n note
+		if err := json.Unmarshal(line, &n); err != nil {
+			return ended(cobaltgate.Reset), err
+		}
+		if n.ID != a.job.ID || last != nil {
+			return ended(cobaltgate.Reset), fmt.Errorf("a line that does not belong here")
+		}
+		switch code, isLast := lastStates[n.State]; {
+		case isLast:
+			last = &core.Report{Ended: true, Code: code}
+			if code == cobaltgate.Served {
+				last.Result = []byte(n.Result)
+			}
+		case n.State == stateStarted:
+			a.report(core.Report{})
+		case n.State == stateRunning:
+			a.report(core.Report{Progress: true})
+		default:
+			return ended(cobaltgate.Reset), fmt.Errorf("unknown state %q", n.State)
+		}
+	}
+	if err := lines.Err(); err != nil {
+		return ended(cobaltgate.Reset), err
+	}
+	if last == nil {
+		return ended(cobaltgate.Reset), io.ErrUnexpectedEOF
+	}
+	return *last, nil
+}
--- /dev/null
+++ b/internal/platform/buffer.go
@@ -0,0 +1,123 @@
+package platform
+
+import (
+	"bufio"
+	"errors"
+	"io"
+	"net"
+	"sync"
+	"syscall"
+)
+
+var errTooLong = errors.New("the message is too long")
+
+// A buffer is the one buffer of a connection. It grows as a message needs, and
+// what is left is moved to its front when room runs out.
+type buffer struct {
+	conn net.Conn
+	data []byte
+	r, w int // data[r:w] is read from the connection and not yet consumed
+}
+
+const firstSize = 2 << 10
+
+func (b *buffer) buffered() int { return b.w - b.r }
+
+// room makes space behind what is buffered.
+func (b *buffer) room() {
+	if b.r > 0 {
+		b.w = copy(b.data, b.data[b.r:b.w])
+		b.r = 0
+	}
+	if b.w == len(b.data) {
+		grown := make([]byte, max(firstSize, 2*len(b.data)))
+		copy(grown, b.data[:b.w])
+		b.data = grown
+	}
+}
+
+// fill reads from the connection once.
+func (b *buffer) fill() error {
+	if b.w == len(b.data) {
+		b.room()
+	}
+	n, err := b.conn.Read(b.data[b.w:])
+	b.w += n
+	if n > 0 {
+		return nil // an error comes again
+	}
+	if err == nil {
+		err = io.ErrNoProgress
+	}
+	return err
+}
+
+// fillNow takes what has already arrived, without waiting. It returns false if
+// the other side has ended the connection.
+func (b *buffer) fillNow() bool {
+	sc, ok := b.conn.(syscall.Conn)
+	if !ok {
+		return true
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return false
+	}
+	if b.w == len(b.data) {
+		b.room()
+	}
+	alive := true
+	err = raw.Control(func(fd uintptr) {
+		n, err := syscall.Read(int(fd), b.data[b.w:])
+		switch {
+		case n > 0:
+			b.w += n
+		case err == syscall.EAGAIN || err == syscall.EINTR:
+		default:
+			alive = false
+		}
+	})
+	return alive && err == nil
+}
+
+// A message is the reading of one message from a buffer. Its bytes stay in the
+// buffer until end, so that nothing behind it is lost to the parser's read-ahead.
+type message struct {
+	*bufio.Reader // for http.ReadRequest and http.ReadResponse
+	b             *buffer
+	at            int // read so far, from b.r
+	limit         int // most that may be read
+}
+
+var parsers = sync.Pool{New: func() any { return bufio.NewReader(nil) }}
+
+func (b *buffer) message(limit int) *message {
+	m := &message{b: b, limit: limit, Reader: parsers.Get().(*bufio.Reader)}
+	m.Reset(unread{m})
+	return m
+}
+
+// end drops what the parser has used of the buffer.
+func (m *message) end() {
+	m.b.r += m.at - m.Buffered()
+	m.Reset(nil)
+	parsers.Put(m.Reader)
+}
+
+// unread hands a message's bytes to the parser.
+type unread struct{ m *message }
+
+func (u unread) Read(p []byte) (int, error) {
+	m := u.m
+	if m.at >= m.limit {
+		return 0, errTooLong
+	}
+	for m.b.buffered() == m.at {
+		if err := m.b.fill(); err != nil {
+			return 0, err
+		}
+	}
+	n := copy(p[:min(len(p), m.limit-m.at)], m.b.data[m.b.r+m.at:m.b.w])
+	m.at += n
+	return n, nil
+}
--- /dev/null
+++ b/internal/platform/machines.go
@@ -0,0 +1,244 @@
+package platform
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/vatu-meals/cobaltgate"
+	"github.com/vatu-meals/cobaltgate/internal/config"
+)
+
+const (
+	watchWait   = 10 * time.Second        // how long discovery may hold a watch
+	listLimit   = 4 * time.Second         // for the whole list: discovery gives up after 3 s
+	watchSlack  = 1500 * time.Millisecond // a watch's answer may come this much after its wait
+	dialLimit   = time.Second             // for a connection to discovery
+	watchBroken = 200 * time.Millisecond  // a later call starts a new watch
+)
+
+// machines is the machine list and the watch on it. Claims ask it just before
+// they send, so that they see a change before the core has heard of it.
+type machines struct {
+	addr     string
+	settings *config.Settings
+	tell     func(cobaltgate.ListKind, []cobaltgate.Worker)
+
+	mu       sync.Mutex
+	entries  map[string]machine
+	version  int64
+	watching bool
+}
+
+// A machine is an execute node's entry in the list.
+type machine struct {
+	dial  string
+	state cobaltgate.WorkerState
+}
+
+func newMachines(addr string, s *config.Settings, tell func(cobaltgate.ListKind, []cobaltgate.Worker)) *machines {
+	return &machines{addr: addr, settings: s, tell: tell, entries: map[string]machine{}}
+}
+
+// A listing is discovery's answer.
+type listing struct {
+	Version *int64 `json:"seq"`
+	Whole   bool   `json:"whole"`
+	Hosts   []struct {
+		Host   string `json:"host"`
+		Dial   string `json:"dial"`
+		Zone   string `json:"site"`
+		Kind   string `json:"class"`
+		Cell   int    `json:"block"`
+		Health string `json:"health"`
+		Born   int64  `json:"born_ms"`
+	} `json:"hosts"`
+}
+
+var healths = map[string]cobaltgate.WorkerState{
+	healthActive: cobaltgate.Live, healthLeaving: cobaltgate.Draining, healthLeft: cobaltgate.Gone,
+}
+
+// parseListing reads an answer; one that is faulty anywhere is refused whole.
+func parseListing(text []byte) (*listing, error) {
+	var l listing
+	if err := json.Unmarshal(text, &l); err != nil {
+		return nil, err
+	}
+	if l.Version == nil {
+		return nil, errors.New("seq is missing")
+	}
+	for i, h := range l.Hosts {
+		if h.Host == "" {
+			return nil, fmt.Errorf("hosts[%d].host is empty", i)
+		}
+		if _, ok := healths[h.Health]; !ok {
+			return nil, fmt.Errorf("hosts[%d].health is %q", i, h.Health)
+		}
+		if _, _, err := net.SplitHostPort(h.Dial); err != nil && h.Health != healthLeft {
+			return nil, fmt.Errorf("hosts[%d].dial is %q", i, h.Dial)
+		}
+	}
+	return &l, nil
+}
+
+// load takes the list as last known before the start.
+func (m *machines) load(known []byte) ([]cobaltgate.Worker, error) {
+	if len(known) == 0 || string(known) == "null" {
+		return nil, nil
+	}
+	l, err := parseListing(known)
+	if err != nil {
+		return nil, fmt.Errorf("known: %w", err)
+	}
+	l.Whole = true
+	return m.take(l), nil
+}
+
+// take puts an answer into the list and returns it in the module's terms.
+func (m *machines) take(l *listing) []cobaltgate.Worker {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if l.Whole {
+		clear(m.entries)
+	}
+	m.version = *l.Version
+	var workers []cobaltgate.Worker
+	for _, h := range l.Hosts {
+		state := healths[h.Health]
+		m.entries[h.Host] = machine{h.Dial, state}
+		workers = append(workers, cobaltgate.Worker{
+			ID: h.Host, Zone: config.Find(m.settings.Zones, h.Zone), Kind: config.Find(m.settings.Kinds, h.Kind),
+			Cell: h.Cell, State: state, Started: h.Born * int64(time.Millisecond),
+		})
+	}
+	return workers
+}
+
+// address returns where a node listens, if new work may go there now.
+func (m *machines) address(node string) (string, bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	e, ok := m.entries[node]
+	return e.dial, ok && e.state == cobaltgate.Live
+}
+
+// Watch implements core.MachineList.
+func (m *machines) Watch() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if !m.watching {
+		m.watching = true
+		go m.watch()
+	}
+}
+
+// watch takes the whole list and then its changes, until a call fails.
+func (m *machines) watch() {
+	err := m.follow()
+	m.mu.Lock()
+	m.watching = false
+	m.mu.Unlock()
+	if err != nil {
+		m.tell(cobaltgate.ListFailed, nil)
+	}
+}
+
+func (m *machines) follow() error {
+	c := &caller{addr: m.addr}
+	defer c.close()
+	whole := true // a first call, and one after a gap, takes the whole list
+	var kind cobaltgate.ListKind
+	var news []cobaltgate.Worker
+	var told bool
+	for {
+		target, limit := pathMembers, listLimit
+		if !whole {
+			target = fmt.Sprintf("%s?index=%d&wait=%d", pathMembers, m.version, watchWait.Milliseconds())
+			limit = watchWait + watchSlack
+		}
+		if err := c.send(target, limit); err != nil {
+			return err
+		}
+		// The core hears of an answer once the next call is out: nothing that
+		// happens here may delay that call.
+		if told {
+			m.tell(kind, news)
+		}
+		body, err := c.receive()
+		if err != nil {
+			return err
+		}
+		answered := time.Now()
+		l, err := parseListing(body)
+		if err != nil {
+			return err
+		}
+		if whole && !l.Whole {
+			return errors.New("the answer is not the whole list")
+		}
+		if !l.Whole && *l.Version < m.version {
+			whole, told = true, false // discovery has lost count
+			continue
+		}
+		told = l.Whole || len(l.Hosts) > 0
+		news = m.take(l)
+		kind = cobaltgate.ListChanges
+		if l.Whole {
+			kind = cobaltgate.ListFull
+		}
+		whole = time.Since(answered) > watchBroken
+	}
+}
+
+// A caller makes calls to discovery, on one connection while it lasts.
+type caller struct {
+	addr string
+	conn net.Conn
+	buf  buffer
+}
+
+func (c *caller) close() {
+	if c.conn != nil {
+		c.conn.Close()
+		c.conn = nil
+	}
+}
+
+func (c *caller) send(target string, limit time.Duration) error {
+	if c.conn == nil {
+		conn, err := net.DialTimeout("tcp", c.addr, dialLimit)
+		if err != nil {
+			return err
+		}
+		c.conn, c.buf = conn, buffer{conn: conn}
+	}
+	c.conn.SetDeadline(time.Now().Add(limit))
+	_, err := fmt.Fprintf(c.conn, "GET %s HTTP/1.1\r\nHost: %s\r\n\r\n", target, c.addr)
+	return err
+}
+
+func (c *caller) receive() ([]byte, error) {
+	msg := c.buf.message(maxResponse)
+	defer msg.end()
+	resp, err := http.ReadResponse(msg.Reader, nil)
+	if err != nil {
+		return nil, err
+	}
+	body, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return nil, err
+	}
+	if resp.StatusCode != http.StatusOK {
+		return nil, fmt.Errorf("status %d", resp.StatusCode)
+	}
+	if resp.Close {
+		c.close()
+	}
+	return body, nil
+}
--- /dev/null
+++ b/internal/platform/names.go
@@ -0,0 +1,44 @@
+// Package platform speaks the platform's protocol: HTTP/1.1 over plain TCP with
+// submitters, execute nodes and discovery. It turns what comes in into the
+// core's jobs, reports and lists, and decides nothing.
+package platform
+
+// The names that the protocol uses, all in this file.
+const (
+	headerID         = "X-Txn"
+	headerClass      = "X-Lane"
+	headerTenant     = "X-Org"
+	headerRemaining  = "X-Remaining"
+	headerRepeat     = "X-Resent"
+	headerLabels     = "X-Labels"
+	headerTurnedAway = "X-Turned-Away"
+	headerRetryAfter = "Retry-After"
+
+	queryKey = "user"
+
+	labelSlots  = "slots"
+	labelMemory = "memory"
+
+	pathHealth  = "/_health"
+	pathPing    = "/ping"
+	pathLoad    = "/_load"
+	pathMembers = "/catalog/members"
+
+	stateStarted  = "started"
+	stateRunning  = "running"
+	stateDone     = "done"
+	stateFailed   = "failed"
+	stateReturned = "returned"
+	stateLost     = "lost"
+
+	healthActive  = "active"
+	healthLeaving = "leaving"
+	healthLeft    = "left"
+)
+
+// The sizes that the protocol allows, and what else is read at most.
+const (
+	maxBody     = 64 << 10
+	maxHead     = 16 << 10
+	maxResponse = 1 << 20 // a whole answer of an execute node or of discovery
+)
--- /dev/null
+++ b/internal/platform/nodes.go
@@ -0,0 +1,188 @@
+package platform
+
+import (
+	"context"
+	"errors"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/vatu-meals/cobaltgate"
+	"github.com/vatu-meals/cobaltgate/internal/config"
+	"github.com/vatu-meals/cobaltgate/internal/core"
+	"github.com/vatu-meals/cobaltgate/internal/counters"
+)
+
+const (
+	defaultConnect = 200 * time.Millisecond // where the settings give no limit
+	defaultIdle    = 10 * time.Second
+)
+
+var errBudget = errors.New("no descriptor left for execute nodes")
+
+// nodes holds the connections to execute nodes. It implements core.Nodes.
+type nodes struct {
+	list      *machines
+	counters  *counters.Set
+	connect   time.Duration // most that a dial may take
+	idleLimit time.Duration // after which an idle connection is dropped
+	withLoad  bool          // probes ask for the load report
+	loadNames []string
+	budget    int
+
+	mu   sync.Mutex
+	open int                    // connections and dials
+	idle map[string][]*nodeConn // by address, the newest last
+}
+
+// A nodeConn is a connection to an execute node. It carries one request at a time.
+type nodeConn struct {
+	net.Conn
+	addr  string
+	buf   buffer
+	drop  *time.Timer // while idle
+	since time.Time   // when it became idle
+}
+
+func newNodes(list *machines, s *config.Settings, set *counters.Set, budget int) *nodes {
+	n := &nodes{
+		list: list, counters: set, connect: defaultConnect, idleLimit: defaultIdle, budget: budget,
+		withLoad: len(s.GaugeNames) > 0, loadNames: s.GaugeNames, idle: map[string][]*nodeConn{},
+	}
+	if s.ConnectTimeout > 0 {
+		n.connect = time.Duration(s.ConnectTimeout)
+	}
+	if idle := s.Module.ConnIdle; idle > 0 {
+		// Well before the node's side drops it: a request written to a connection
+		// that is being dropped may have run.
+		n.idleLimit = time.Duration(idle) / 2
+	}
+	return n
+}
+
+// reuse takes the newest idle connection to an address that is still good.
+func (n *nodes) reuse(addr string) *nodeConn {
+	for {
+		n.mu.Lock()
+		stack := n.idle[addr]
+		if len(stack) == 0 {
+			n.mu.Unlock()
+			return nil
+		}
+		c := stack[len(stack)-1]
+		n.takeLocked(c)
+		n.mu.Unlock()
+		// A node that has restarted or dropped the connection has said so already;
+		// writing to it would look like a job that may have run.
+		if c.buf.fillNow() && c.buf.buffered() == 0 {
+			return c
+		}
+		n.discard(c)
+	}
+}
+
+// takeLocked removes a connection from the idle ones; false if it is not there.
+func (n *nodes) takeLocked(c *nodeConn) bool {
+	stack := n.idle[c.addr]
+	for i := len(stack) - 1; i >= 0; i-- {
+		if stack[i] == c {
+			c.drop.Stop()
+			stack = append(stack[:i], stack[i+1:]...)
+			if n.idle[c.addr] = stack; len(stack) == 0 {
+				delete(n.idle, c.addr)
+			}
+			return true
+		}
+	}
+	return false
+}
+
+// keep puts a connection among the idle ones.
+func (n *nodes) keep(c *nodeConn) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	c.since = time.Now()
+	c.drop = time.AfterFunc(n.idleLimit, func() { n.dropIdle(c) })
+	n.idle[c.addr] = append(n.idle[c.addr], c)
+}
+
+func (n *nodes) dropIdle(c *nodeConn) {
+	n.mu.Lock()
+	idle := n.takeLocked(c)
+	n.mu.Unlock()
+	if idle {
+		n.discard(c)
+	}
+}
+
+// discard closes a connection that is not idle.
+func (n *nodes) discard(c *nodeConn) {
+	c.Close()
+	n.mu.Lock()
+	n.open--
+	n.mu.Unlock()
+}
+
+// reserve takes a descriptor from the budget; the longest idle connection makes
+// way.
+func (n *nodes) reserve() error {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.open >= n.budget {
+		var oldest *nodeConn
+		for _, stack := range n.idle {
+			if oldest == nil || stack[0].since.Before(oldest.since) {
+				oldest = stack[0]
+			}
+		}
+		if oldest == nil {
+			return errBudget
+		}
+		n.takeLocked(oldest)
+		oldest.Close()
+		n.open--
+	}
+	n.open++
+	return nil
+}
+
+// dial opens a connection. It does not block longer than the settings' limit.
+func (n *nodes) dial(ctx context.Context, addr string) (*nodeConn, error) {
+	if err := n.reserve(); err != nil {
+		return nil, err
+	}
+	d := net.Dialer{Timeout: n.connect}
+	conn, err := d.DialContext(ctx, "tcp", addr)
+	if err != nil {
+		n.mu.Lock()
+		n.open--
+		n.mu.Unlock()
+		n.counters.Add("nodes.dial_failed")
+		return nil, err
+	}
+	n.counters.Add("nodes.dialed")
+	return &nodeConn{Conn: conn, addr: addr, buf: buffer{conn: conn}}, nil
+}
+
+// CloseIdle implements core.Nodes.
+func (n *nodes) CloseIdle(node string) {
+	addr, _ := n.list.address(node)
+	n.mu.Lock()
+	stack := append([]*nodeConn(nil), n.idle[addr]...)
+	n.mu.Unlock()
+	for _, c := range stack {
+		n.dropIdle(c)
+	}
+}
+
+// Send implements core.Nodes.
+func (n *nodes) Send(node string, job *core.Job, remaining time.Duration, report func(core.Report)) func() {
+	ctx, withdraw := context.WithCancel(context.Background())
+	a := &attempt{nodes: n, ctx: ctx, node: node, job: job, until: time.Now().Add(remaining), report: report}
+	go a.run()
+	return withdraw
+}
+
+var _ core.Nodes = (*nodes)(nil)
+
+func ended(c cobaltgate.Code) core.Report { return core.Report{Ended: true, Code: c} }
--- /dev/null
+++ b/internal/platform/parse.go
@@ -0,0 +1,120 @@
+package platform
+
+import (
+	"errors"
+	"fmt"
+	"math"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/vatu-meals/cobaltgate/internal/config"
+	"github.com/vatu-meals/cobaltgate/internal/core"
+)
+
+// A payload is what an execute node is sent of a job.
+type payload struct {
+	method, target string
+	header         http.Header
+	body           []byte
+}
+
+// badInput is what a submitter sent and no execute node may see: the status of
+// its answer and the counter it falls under.
+type badInput struct {
+	status  int
+	counter string
+	text    string
+}
+
+func (e *badInput) Error() string { return e.text }
+
+func bad(status int, counter, format string, args ...any) *badInput {
+	return &badInput{status, "bad." + counter, fmt.Sprintf(format, args...)}
+}
+
+// parseJob makes a job of a request read in full.
+func parseJob(req *http.Request, body []byte) (*core.Job, *badInput) {
+	ids := req.Header[headerID]
+	if len(ids) != 1 || ids[0] == "" {
+		return nil, bad(http.StatusBadRequest, "id", "%s must be there once", headerID)
+	}
+	class := req.Header.Get(headerClass)
+	if first, _, _ := strings.Cut(strings.TrimPrefix(req.URL.Path, "/"), "/"); class != first {
+		return nil, bad(http.StatusBadRequest, "class", "%s and the path's first part differ", headerClass)
+	}
+	remaining, err := parseRemaining(req.Header.Get(headerRemaining))
+	if err != nil {
+		return nil, bad(http.StatusBadRequest, "remaining", "%s: %v", headerRemaining, err)
+	}
+	slots, memory, err := parseLabels(req.Header.Get(headerLabels))
+	if err != nil {
+		return nil, bad(http.StatusBadRequest, "labels", "%s: %v", headerLabels, err)
+	}
+	return &core.Job{
+		ID: ids[0], Class: class, Tenant: req.Header.Get(headerTenant), Remaining: remaining,
+		Key: config.ParseKey([]byte(req.URL.Query().Get(queryKey))), Slots: slots, Memory: memory,
+		Repeat:  req.Header.Get(headerRepeat) == "1",
+		Payload: &payload{method: req.Method, target: req.RequestURI, header: req.Header, body: body},
+	}, nil
+}
+
+// parseRemaining reads a number with its unit, m (milliseconds) or u
+// (microseconds). What no duration can hold is cut to the longest.
+func parseRemaining(s string) (time.Duration, error) {
+	unit := time.Millisecond
+	switch {
+	case strings.HasSuffix(s, "m"):
+	case strings.HasSuffix(s, "u"):
+		unit = time.Microsecond
+	default:
+		return 0, errors.New("not a number with the unit m or u")
+	}
+	// Bare digits only: ParseFloat would also take "NaN", "0x1p4" and "-1".
+	digits := s[:len(s)-1]
+	if digits == "" || strings.Trim(digits, "0123456789.") != "" {
+		return 0, errors.New("not a number with the unit m or u")
+	}
+	n, err := strconv.ParseFloat(digits, 64)
+	if err != nil && !errors.Is(err, strconv.ErrRange) {
+		return 0, errors.New("not a number with the unit m or u")
+	}
+	if n > float64(math.MaxInt64/unit/2) {
+		return math.MaxInt64 / 2, nil
+	}
+	return time.Duration(n * float64(unit)), nil
+}
+
+// parseLabels reads name=value,name=value and picks the names that count here.
+func parseLabels(s string) (slots, memory float64, err error) {
+	if s == "" {
+		return 0, 0, nil
+	}
+	for part := range strings.SplitSeq(s, ",") {
+		name, value, ok := strings.Cut(strings.TrimSpace(part), "=")
+		if !ok {
+			return 0, 0, fmt.Errorf("%q is not name=value", part)
+		}
+		var to *float64
+		switch name {
+		case labelSlots:
+			to = &slots
+		case labelMemory:
+			to = &memory
+		default:
+			continue
+		}
+		n, err := strconv.ParseFloat(value, 64)
+		if err != nil || n < 0 || math.IsNaN(n) || math.IsInf(n, 0) {
+			return 0, 0, fmt.Errorf("%s is not a number of 0 or more", name)
+		}
+		*to = n
+	}
+	return slots, memory, nil
+}
+
+// formatRemaining writes a duration as execute nodes read it.
+func formatRemaining(d time.Duration) string {
+	return strconv.FormatInt(max(0, int64(d/time.Microsecond)), 10) + "u"
+}
--- /dev/null
+++ b/internal/platform/submitter.go
@@ -0,0 +1,229 @@
+package platform
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"github.com/vatu-meals/cobaltgate/internal/core"
+)
+
+const (
+	readLimit  = 10 * time.Second // for a request, from its first byte to its last
+	writeLimit = 10 * time.Second // for an answer
+	lingerTime = time.Second      // for the other side to read an answer before the end
+)
+
+// The past as a read deadline wakes a connection's goroutine from Read.
+var wakeUp = time.Unix(1, 0)
+
+// A submitter is a connection from the submitters' side. One goroutine serves
+// it: it reads a request, hands the job to the core, and while the job runs goes
+// on reading, to notice that the submitter leaves. Others wake it by a read
+// deadline in the past.
+type submitter struct {
+	front  *front
+	conn   net.Conn
+	buf    buffer
+	retire atomic.Bool // to end as soon as it is idle
+}
+
+// A waiting is the submitter's wait for the answer to one job.
+type waiting struct {
+	s      *submitter
+	answer chan core.Answer // holds one
+}
+
+// Answer implements core.Submitter.
+func (w *waiting) Answer(a core.Answer) {
+	select {
+	case w.answer <- a:
+		w.s.conn.SetReadDeadline(wakeUp)
+	default: // a second answer: the core gives only one
+	}
+}
+
+// serve runs until the connection ends.
+func (s *submitter) serve() {
+	defer s.conn.Close()
+	for s.awaitRequest() {
+		if !s.exchange() {
+			return
+		}
+	}
+}
+
+// awaitRequest waits for a request's first byte.
+func (s *submitter) awaitRequest() bool {
+	s.front.setIdle(s, true)
+	defer s.front.setIdle(s, false)
+	for {
+		// In this order: a wake-up between the two ends the wait below.
+		s.conn.SetReadDeadline(time.Time{})
+		if s.buf.buffered() > 0 {
+			return true
+		}
+		if s.retire.Load() {
+			// A request may have arrived that was not read: it must be answered.
+			return s.buf.fillNow() && s.buf.buffered() > 0
+		}
+		if err := s.buf.fill(); err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
+			return false
+		}
+	}
+}
+
+// exchange reads one request and answers it. It returns whether the connection
+// goes on.
+func (s *submitter) exchange() bool {
+	req, body, input := s.readRequest()
+	if input != nil {
+		s.front.counters.Add(input.counter)
+		s.write(input.status, nil, "", input.text, true)
+		s.linger()
+		return false
+	}
+	if req == nil {
+		return false // it ended within a request: nothing was taken
+	}
+	ends := req.Close
+	switch {
+	case req.URL.Path == pathHealth:
+		status := http.StatusOK
+		if !s.front.ready() {
+			status = http.StatusServiceUnavailable
+		}
+		if req.Method != http.MethodGet && req.Method != http.MethodHead {
+			status = http.StatusMethodNotAllowed
+		}
+		return s.write(status, nil, "", http.StatusText(status), ends)
+	case req.Method != http.MethodPost:
+		s.front.counters.Add("bad.method")
+		return s.write(http.StatusMethodNotAllowed, nil, "", "jobs come by POST", ends)
+	}
+	job, input := parseJob(req, body)
+	if input != nil {
+		s.front.counters.Add(input.counter)
+		return s.write(input.status, nil, "", input.text, ends)
+	}
+	answer, left := s.run(job)
+	switch answer.Verdict {
+	case core.Served:
+		ends = !s.write(http.StatusOK, answer.Result, "", "", ends)
+	case core.Refused:
+		ends = !s.write(http.StatusServiceUnavailable, nil, retryAfter(answer.RetryAfter), "refused", ends)
+	case core.Rejected:
+		s.front.counters.Add("bad.job")
+		ends = !s.write(http.StatusBadRequest, nil, "", answer.Reason, ends)
+	default:
+		ends = !s.write(http.StatusBadGateway, nil, "", answer.Reason, ends)
+	}
+	return !ends && !left
+}
+
+// run hands a job to the core and waits for its answer.
+func (s *submitter) run(job *core.Job) (answer core.Answer, left bool) {
+	w := &waiting{s, make(chan core.Answer, 1)}
+	job.Submitter, job.Arrived = w, s.front.clock.Now()
+	s.front.core.TakeIn(job)
+	for {
+		// In this order: an answer between the two ends the read below.
+		s.conn.SetReadDeadline(time.Time{})
+		select {
+		case answer = <-w.answer:
+			return answer, left
+		default:
+		}
+		if left || s.buf.buffered() >= maxHead {
+			return <-w.answer, left // nothing more to learn from reading
+		}
+		if err := s.buf.fill(); err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
+			left = true
+			s.front.core.Left(job)
+		}
+	}
+}
+
+// readRequest reads a whole request. All nil means that the connection ended.
+func (s *submitter) readRequest() (*http.Request, []byte, *badInput) {
+	limit := time.Now().Add(readLimit)
+	s.conn.SetReadDeadline(limit)
+	m := s.buf.message(maxHead)
+	defer m.end()
+	req, err := http.ReadRequest(m.Reader)
+	if err != nil {
+		return nil, nil, s.readError(err, "head")
+	}
+	if req.ContentLength > maxBody {
+		return nil, nil, bad(http.StatusRequestEntityTooLarge, "body", "a body holds %d bytes at most", maxBody)
+	}
+	if req.Header.Get("Expect") == "100-continue" {
+		s.conn.Write([]byte("HTTP/1.1 100 Continue\r\n\r\n"))
+	}
+	m.limit = m.at + 2*maxBody // chunked framing takes room too
+	body, err := io.ReadAll(io.LimitReader(req.Body, maxBody+1))
+	if err != nil {
+		return nil, nil, s.readError(err, "length")
+	}
+	if len(body) > maxBody {
+		return nil, nil, bad(http.StatusRequestEntityTooLarge, "body", "a body holds %d bytes at most", maxBody)
+	}
+	return req, body, nil
+}
+
+// readError tells bad input from a connection that has ended.
+func (s *submitter) readError(err error, counter string) *badInput {
+	var network net.Error
+	switch {
+	case errors.Is(err, errTooLong):
+		return bad(http.StatusRequestHeaderFieldsTooLarge, counter, "the request is too long")
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return bad(http.StatusRequestTimeout, "slow", "the request did not come to its end")
+	case errors.As(err, &network), errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF):
+		return nil
+	}
+	return bad(http.StatusBadRequest, counter, "malformed request: %v", err)
+}
+
+// write writes an answer and returns whether the connection may go on.
+func (s *submitter) write(status int, result []byte, retryAfter, text string, ends bool) bool {
+	ends = ends || s.retire.Load() || s.front.ending.Load()
+	if result == nil && text != "" {
+		result = []byte(text + "\n")
+	}
+	b := make([]byte, 0, 160+len(result))
+	b = fmt.Appendf(b, "HTTP/1.1 %d %s\r\nContent-Length: %d\r\n", status, http.StatusText(status), len(result))
+	if retryAfter != "" {
+		b = fmt.Appendf(b, "%s: %s\r\n", headerRetryAfter, retryAfter)
+	}
+	if ends {
+		b = append(b, "Connection: close\r\n"...)
+	}
+	b = append(append(b, "\r\n"...), result...)
+	s.conn.SetWriteDeadline(time.Now().Add(writeLimit))
+	_, err := s.conn.Write(b)
+	return err == nil && !ends
+}
+
+// linger lets the other side read the answer: closing with unread bytes would
+// reset the connection and could take the answer with it.
+func (s *submitter) linger() {
+	if tcp, ok := s.conn.(*net.TCPConn); ok && tcp.CloseWrite() == nil {
+		s.conn.SetReadDeadline(time.Now().Add(lingerTime))
+		io.Copy(io.Discard, s.conn)
+	}
+}
+
+// retryAfter writes seconds as a decimal; nothing for none.
+func retryAfter(d time.Duration) string {
+	if d <= 0 {
+		return ""
+	}
+	return strconv.FormatFloat(d.Seconds(), 'f', 3, 64)
+}
