--- a/api.go
+++ b/api.go
@@ -1,4 +1,4 @@
-// Package cobaltgate decides, for one dispatcher of jobs, what to do with each
+// Package foxlift decides, for one dispatcher of jobs, what to do with each
 // request: hold it, send it to a worker, refuse it or fail it.
 //
 // A Dispatcher is a deterministic state machine. It reads no clock, starts no
@@ -14,7 +14,7 @@
 // counts as standing still; an event about an unknown request, attempt or worker,
 // a second outcome, a request whose class is unknown or whose ID is in use, and a
 // message from no peer are ignored.
-package cobaltgate
+package foxlift
 
 import (
 	"errors"
@@ -130,38 +130,38 @@
 // check reports the first field that makes c impossible to run.
 func (c *Config) check() error {
 	if len(c.Classes) == 0 {
-		return errors.New("cobaltgate: Classes is empty")
+		return errors.New("foxlift: Classes is empty")
 	}
 	if c.Dispatchers < 1 {
-		return errors.New("cobaltgate: Dispatchers is under 1")
+		return errors.New("foxlift: Dispatchers is under 1")
 	}
 	if c.Index < 0 || c.Index >= c.Dispatchers {
-		return errors.New("cobaltgate: Index is not under Dispatchers")
+		return errors.New("foxlift: Index is not under Dispatchers")
 	}
 	if len(c.Gauges) > MaxGauges {
-		return errors.New("cobaltgate: Gauges has too many values")
+		return errors.New("foxlift: Gauges has too many values")
 	}
 	for i := range c.Classes {
 		k := &c.Classes[i]
 		switch {
 		case k.Aim < 0 || k.Deadline < 0 || k.KeyTTL < 0 || k.Stretch < 0:
-			return fmt.Errorf("cobaltgate: Classes[%d] has a negative time", i)
+			return fmt.Errorf("foxlift: Classes[%d] has a negative time", i)
 		case k.Effect > AtMostOnce:
-			return fmt.Errorf("cobaltgate: Classes[%d].Effect is unknown", i)
+			return fmt.Errorf("foxlift: Classes[%d].Effect is unknown", i)
 		case k.Scope > ScopeCell:
-			return fmt.Errorf("cobaltgate: Classes[%d].Scope is unknown", i)
+			return fmt.Errorf("foxlift: Classes[%d].Scope is unknown", i)
 		case k.Kind < -1:
-			return fmt.Errorf("cobaltgate: Classes[%d].Kind is under -1", i)
+			return fmt.Errorf("foxlift: Classes[%d].Kind is under -1", i)
 		}
 	}
 	for i, t := range c.Tenants {
 		if t.Quota < 0 || math.IsNaN(t.Quota) {
-			return fmt.Errorf("cobaltgate: Tenants[%d].Quota is negative", i)
+			return fmt.Errorf("foxlift: Tenants[%d].Quota is negative", i)
 		}
 	}
 	for i, b := range c.Bands {
 		if len(b.Ratio) != len(c.Tenants) || b.Width < 0 {
-			return fmt.Errorf("cobaltgate: Bands[%d] does not fit Tenants", i)
+			return fmt.Errorf("foxlift: Bands[%d] does not fit Tenants", i)
 		}
 	}
 	for _, f := range []struct {
@@ -172,7 +172,7 @@
 		{"MaxRetryAfter", c.MaxRetryAfter}, {"ConnIdle", c.ConnIdle}, {"AnswerGrace", c.AnswerGrace},
 	} {
 		if f.time < 0 {
-			return fmt.Errorf("cobaltgate: %s is negative", f.name)
+			return fmt.Errorf("foxlift: %s is negative", f.name)
 		}
 	}
 	return nil
--- a/cmd/cobaltgate-sim/main.go
+++ b/cmd/foxlift-sim/main.go
@@ -1,4 +1,4 @@
-// Command cobaltgate-sim runs dispatchers on the simulator's wire: batches of
+// Command foxlift-sim runs dispatchers on the simulator's wire: batches of
 // events on standard input, one line of actions for each on standard output.
 package main
 
@@ -12,13 +12,13 @@
 
 	"github.com/valyala/fastjson"
 
-	"github.com/vatu-meals/cobaltgate"
-	"github.com/vatu-meals/cobaltgate/internal/wire"
+	"github.com/vatu-meals/foxlift"
+	"github.com/vatu-meals/foxlift/internal/wire"
 )
 
 func main() {
 	if err := serve(os.Stdin, os.Stdout); err != nil {
-		fmt.Fprintln(os.Stderr, "cobaltgate-sim:", err)
+		fmt.Fprintln(os.Stderr, "foxlift-sim:", err)
 		os.Exit(1)
 	}
 }
@@ -26,8 +26,8 @@
 // An instance is one running dispatcher; instances share nothing.
 type instance struct {
 	names  *wire.Names
-	gate   *cobaltgate.Dispatcher
-	events []cobaltgate.Event
+	gate   *foxlift.Dispatcher
+	events []foxlift.Event
 }
 
 // A host runs the instances and gathers the reply to a batch.
@@ -92,9 +92,9 @@
 // Attach starts an instance. Settings that cannot run are reported on the wire.
 func (h *host) Attach(name string, seed uint64, settings *fastjson.Value) error {
 	cfg, names, err := wire.Settings(name, settings)
-	var gate *cobaltgate.Dispatcher
+	var gate *foxlift.Dispatcher
 	if err == nil {
-		gate, err = cobaltgate.New(*cfg, seed)
+		gate, err = foxlift.New(*cfg, seed)
 	}
 	if err != nil {
 		// It is kept without a dispatcher, so that its events are swallowed.
@@ -138,7 +138,7 @@
 }
 
 // Event keeps an event for its instance until the batch has been read.
-func (h *host) Event(n *wire.Names, ev *cobaltgate.Event) error {
+func (h *host) Event(n *wire.Names, ev *foxlift.Event) error {
 	inst := n.Owner.(*instance)
 	if inst.gate == nil {
 		return nil
@@ -146,8 +146,8 @@
 	if len(inst.events) == 0 {
 		h.touched = append(h.touched, inst)
 	}
-	if ev.Kind == cobaltgate.EventList {
-		ev.Workers = append([]cobaltgate.Worker(nil), ev.Workers...)
+	if ev.Kind == foxlift.EventList {
+		ev.Workers = append([]foxlift.Worker(nil), ev.Workers...)
 	}
 	inst.events = append(inst.events, *ev)
 	return nil
--- a/cmd/foxlift/main.go
+++ b/cmd/foxlift/main.go
@@ -11,10 +11,10 @@
 	"runtime/debug"
 	"syscall"
 
-	"github.com/vatu-meals/cobaltgate/internal/config"
-	"github.com/vatu-meals/cobaltgate/internal/core"
-	"github.com/vatu-meals/cobaltgate/internal/counters"
-	"github.com/vatu-meals/cobaltgate/internal/platform"
+	"github.com/vatu-meals/foxlift/internal/config"
+	"github.com/vatu-meals/foxlift/internal/core"
+	"github.com/vatu-meals/foxlift/internal/counters"
+	"github.com/vatu-meals/foxlift/internal/platform"
 )
 
 func main() {
--- a/dispatcher.go
+++ b/dispatcher.go
@@ -1,4 +1,4 @@
-package cobaltgate
+package foxlift
 
 // Every decision is in this file; the interface (settings, events, actions) is
 // in api.go, the types of the state in state.go. In reading order: the
--- a/fuzz_test.go
+++ b/fuzz_test.go
@@ -1,4 +1,4 @@
-package cobaltgate
+package foxlift
 
 import (
 	"math/rand/v2"
--- a/internal/config/settings.go
+++ b/internal/config/settings.go
@@ -9,13 +9,13 @@
 	"math"
 	"strings"
 
-	"github.com/vatu-meals/cobaltgate"
+	"github.com/vatu-meals/foxlift"
 )
 
 // Settings is a deployment's settings, ready for the decision module, with the
 // tables that turn names into the module's indexes.
 type Settings struct {
-	Module         cobaltgate.Config
+	Module         foxlift.Config
 	Classes        map[string]int
 	Tenants        map[string]int
 	Zones          map[string]int
@@ -90,20 +90,20 @@
 	} `json:"familyInfo"`
 }
 
-var effects = map[string]cobaltgate.Effect{
-	"idempotent": cobaltgate.Idempotent, "deduplicated": cobaltgate.Deduplicated,
-	"at_most_once": cobaltgate.AtMostOnce,
+var effects = map[string]foxlift.Effect{
+	"idempotent": foxlift.Idempotent, "deduplicated": foxlift.Deduplicated,
+	"at_most_once": foxlift.AtMostOnce,
 }
 
-var scopes = map[string]cobaltgate.Scope{
-	"": cobaltgate.ScopeAll, "all": cobaltgate.ScopeAll, "zone": cobaltgate.ScopeZone,
-	"cell": cobaltgate.ScopeCell,
+var scopes = map[string]foxlift.Scope{
+	"": foxlift.ScopeAll, "all": foxlift.ScopeAll, "zone": foxlift.ScopeZone,
+	"cell": foxlift.ScopeCell,
 }
 
-var gauges = map[string]cobaltgate.Gauge{
-	"outstanding": cobaltgate.GaugeHeld, "backlog": cobaltgate.GaugeQueue,
-	"utilization": cobaltgate.GaugeBusy, "recent_ms": cobaltgate.GaugeLatency,
-	"throughput": cobaltgate.GaugeThroughput, "errors_per_s": cobaltgate.GaugeErrors,
+var gauges = map[string]foxlift.Gauge{
+	"outstanding": foxlift.GaugeHeld, "backlog": foxlift.GaugeQueue,
+	"utilization": foxlift.GaugeBusy, "recent_ms": foxlift.GaugeLatency,
+	"throughput": foxlift.GaugeThroughput, "errors_per_s": foxlift.GaugeErrors,
 }
 
 // ParseSettings turns the settings' JSON into Settings. It serves the real
@@ -115,7 +115,7 @@
 	}
 	b, r := &f.Bounds, &f.Rules
 	s := &Settings{
-		Module: cobaltgate.Config{
+		Module: foxlift.Config{
 			Zone:          -1,
 			Dispatchers:   max(1, f.Balancers),
 			Index:         f.SlotNo,
@@ -136,7 +136,7 @@
 			WarmAfter:     r.WarmAfter,
 			FallMultiple:  r.FallMultiple,
 			FallWindow:    r.Fall,
-			Prices: cobaltgate.Prices{
+			Prices: foxlift.Prices{
 				CrossZone: f.Prices.CrossZone, Handshake: f.Prices.Handshake, Fetch: f.Prices.Origin,
 			},
 		},
@@ -158,7 +158,7 @@
 			return nil, fmt.Errorf("grades[%d]: unknown dedupScope %q", i, g.Scope)
 		}
 		s.Classes[g.Name] = i
-		c.Classes = append(c.Classes, cobaltgate.Class{
+		c.Classes = append(c.Classes, foxlift.Class{
 			Name: g.Name, Aim: g.Aim, Stretch: g.Stretch + at(f.Info.ClassStretch, i, 0), Deadline: g.Deadline,
 			Effect: effect, Scope: scope, KeyTTL: g.KeyTTL, Worth: g.Worth, Stream: g.Stream,
 			Kind: at(f.Info.ClassKind, i, -1), Priority: at(f.Info.ClassPriority, i, 0),
@@ -166,7 +166,7 @@
 	}
 	for i, p := range f.Tenants {
 		s.Tenants[p.Name] = i
-		c.Tenants = append(c.Tenants, cobaltgate.Tenant{Name: p.Name, Quota: p.Quota})
+		c.Tenants = append(c.Tenants, foxlift.Tenant{Name: p.Name, Quota: p.Quota})
 	}
 	for _, name := range f.Report.Names {
 		c.Gauges = append(c.Gauges, gauge(name, f.Info.ReportX0, f.Info.ReportX1))
@@ -174,7 +174,7 @@
 	return s, nil
 }
 
-func gauge(name, x0, x1 string) cobaltgate.Gauge {
+func gauge(name, x0, x1 string) foxlift.Gauge {
 	switch name {
 	case "x0":
 		name = x0
@@ -185,11 +185,11 @@
 	}
 	switch {
 	case strings.Contains(name, "free slots"):
-		return cobaltgate.GaugeFreeSlots
+		return foxlift.GaugeFreeSlots
 	case strings.Contains(name, "free memory"):
-		return cobaltgate.GaugeFreeMemory
+		return foxlift.GaugeFreeMemory
 	}
-	return cobaltgate.GaugeUnknown
+	return foxlift.GaugeUnknown
 }
 
 func at[T any](a []T, i int, other T) T {
@@ -291,8 +291,8 @@
 			return fmt.Errorf("%s: negative", f.key)
 		}
 	}
-	if len(c.Gauges) > cobaltgate.MaxGauges {
-		return fmt.Errorf("report.names: more than %d", cobaltgate.MaxGauges)
+	if len(c.Gauges) > foxlift.MaxGauges {
+		return fmt.Errorf("report.names: more than %d", foxlift.MaxGauges)
 	}
 	return nil
 }
--- a/internal/core/admit.go
+++ b/internal/core/admit.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"github.com/vatu-meals/cobaltgate"
+	"github.com/vatu-meals/foxlift"
 )
 
 const fullRetry = time.Second // advice to submitters when the table is full
@@ -15,7 +15,7 @@
 		c.answer(j, Answer{Verdict: Refused, RetryAfter: fullRetry})
 		return
 	}
-	c.news = append(c.news, cobaltgate.Event{Kind: cobaltgate.EventRequest, Request: cobaltgate.Request{
+	c.news = append(c.news, foxlift.Event{Kind: foxlift.EventRequest, Request: foxlift.Request{
 		ID: j.number, Class: class, Tenant: tenant, Deadline: j.deadline, Key: j.Key,
 		Slots: j.Slots, Memory: j.Memory, Repeat: j.Repeat,
 	}})
--- a/internal/core/book.go
+++ b/internal/core/book.go
@@ -1,6 +1,6 @@
 package core
 
-import "github.com/vatu-meals/cobaltgate"
+import "github.com/vatu-meals/foxlift"
 
 // Stage 6, book: answers and ends of claims are counted, told to the module, and
 // the job leaves the table with the last of them.
@@ -10,9 +10,9 @@
 }
 
 var codeCounters = [...]string{
-	cobaltgate.Served: "claims.served", cobaltgate.Erred: "claims.erred", cobaltgate.Full: "claims.turned_away",
-	cobaltgate.TimedOut: "claims.timed_out", cobaltgate.Unreachable: "claims.unreachable",
-	cobaltgate.Reset: "claims.reset", cobaltgate.Cancelled: "claims.cancelled", cobaltgate.NotSent: "claims.not_sent",
+	foxlift.Served: "claims.served", foxlift.Erred: "claims.erred", foxlift.Full: "claims.turned_away",
+	foxlift.TimedOut: "claims.timed_out", foxlift.Unreachable: "claims.unreachable",
+	foxlift.Reset: "claims.reset", foxlift.Cancelled: "claims.cancelled", foxlift.NotSent: "claims.not_sent",
 }
 
 // answer gives the job's one answer; a second one goes nowhere.
@@ -30,13 +30,13 @@
 
 // abandon answers a job that the module has not ended, and tells the module.
 func (c *Core) abandon(j *job, a Answer) {
-	c.news = append(c.news, cobaltgate.Event{Kind: cobaltgate.EventClientLeft, ID: j.number})
+	c.news = append(c.news, foxlift.Event{Kind: foxlift.EventClientLeft, ID: j.number})
 	c.answer(j, a)
 }
 
 func (c *Core) bookClaim(cl *claim, r Report) {
 	c.counters.Add(codeCounters[r.Code])
-	e := cl.event(cobaltgate.EventOutcome)
+	e := cl.event(foxlift.EventOutcome)
 	e.Code, e.Took, e.Ended = r.Code, c.clock.Now()-cl.sent, cl.job.answered
 	e.HasLoad, e.Load = r.HasLoad, r.Load
 	c.news = append(c.news, e)
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -12,9 +12,9 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/vatu-meals/cobaltgate"
-	"github.com/vatu-meals/cobaltgate/internal/config"
-	"github.com/vatu-meals/cobaltgate/internal/counters"
+	"github.com/vatu-meals/foxlift"
+	"github.com/vatu-meals/foxlift/internal/config"
+	"github.com/vatu-meals/foxlift/internal/counters"
 )
 
 // Nodes reaches the execute nodes. Its methods are called on the core's
@@ -41,10 +41,10 @@
 type Report struct {
 	Progress bool // the job makes progress (neither Progress nor Ended: it started)
 	Ended    bool
-	Code     cobaltgate.Code // how it ended
-	Result   []byte          // of a served job
+	Code     foxlift.Code // how it ended
+	Result   []byte       // of a served job
 	HasLoad  bool
-	Load     [cobaltgate.MaxGauges]float64
+	Load     [foxlift.MaxGauges]float64
 }
 
 // An event is something that the core's goroutine learns of.
@@ -57,7 +57,7 @@
 	counters *counters.Set
 	nodes    Nodes
 	machines MachineList
-	module   *cobaltgate.Dispatcher
+	module   *foxlift.Dispatcher
 
 	inbox   chan event
 	stopped chan struct{}
@@ -68,20 +68,20 @@
 	jobs     map[uint64]*job
 	open     map[string]*job // taken and not yet answered, by the submitter's id
 	numbered uint64
-	news     []cobaltgate.Event // for the module's next step
-	states   map[string]cobaltgate.WorkerState
+	news     []foxlift.Event // for the module's next step
+	states   map[string]foxlift.WorkerState
 }
 
 // New returns a Core. Its parts are set by Connect before Run.
 func New(s *config.Settings, seed uint64, clock Clock, set *counters.Set) (*Core, error) {
-	module, err := cobaltgate.New(s.Module, seed)
+	module, err := foxlift.New(s.Module, seed)
 	if err != nil {
 		return nil, err
 	}
 	return &Core{
 		settings: s, clock: clock, counters: set, module: module,
 		inbox: make(chan event, 1024), stopped: make(chan struct{}),
-		jobs: map[uint64]*job{}, open: map[string]*job{}, states: map[string]cobaltgate.WorkerState{},
+		jobs: map[uint64]*job{}, open: map[string]*job{}, states: map[string]foxlift.WorkerState{},
 	}, nil
 }
 
@@ -90,8 +90,8 @@
 
 // Run is the core's goroutine. It returns after Stop. known is the machine list
 // as last known before the start.
-func (c *Core) Run(known []cobaltgate.Worker) {
-	machinesTold{cobaltgate.ListSaved, known}.apply(c)
+func (c *Core) Run(known []foxlift.Worker) {
+	machinesTold{foxlift.ListSaved, known}.apply(c)
 	c.route()
 	for {
 		select {
@@ -131,7 +131,7 @@
 func (c *Core) Left(j *Job) { c.post(submitterLeft{j}) }
 
 // Machines brings news of the machine list.
-func (c *Core) Machines(kind cobaltgate.ListKind, entries []cobaltgate.Worker) {
+func (c *Core) Machines(kind foxlift.ListKind, entries []foxlift.Worker) {
 	c.post(machinesTold{kind, entries})
 }
 
@@ -140,18 +140,18 @@
 
 // machinesTold is news of the machine list.
 type machinesTold struct {
-	kind    cobaltgate.ListKind
-	entries []cobaltgate.Worker
+	kind    foxlift.ListKind
+	entries []foxlift.Worker
 }
 
 func (e machinesTold) apply(c *Core) {
-	c.news = append(c.news, cobaltgate.Event{Kind: cobaltgate.EventList, List: e.kind, Workers: e.entries})
-	if e.kind == cobaltgate.ListFailed {
+	c.news = append(c.news, foxlift.Event{Kind: foxlift.EventList, List: e.kind, Workers: e.entries})
+	if e.kind == foxlift.ListFailed {
 		c.counters.Add("machines.failed")
 		return // the old list remains
 	}
 	c.counters.Add("machines.told")
-	if e.kind != cobaltgate.ListChanges {
+	if e.kind != foxlift.ListChanges {
 		clear(c.states)
 	}
 	for _, w := range e.entries {
@@ -159,7 +159,7 @@
 	}
 	live := 0
 	for _, s := range c.states {
-		if s == cobaltgate.Live {
+		if s == foxlift.Live {
 			live++
 		}
 	}
--- a/internal/core/job.go
+++ b/internal/core/job.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"github.com/vatu-meals/cobaltgate"
+	"github.com/vatu-meals/foxlift"
 )
 
 // A Job is a request that a front has read in full.
@@ -70,6 +70,6 @@
 }
 
 // event returns an event about the claim for the module.
-func (cl *claim) event(kind cobaltgate.EventKind) cobaltgate.Event {
-	return cobaltgate.Event{Kind: kind, ID: cl.job.number, Attempt: cl.attempt, Worker: cl.node}
+func (cl *claim) event(kind foxlift.EventKind) foxlift.Event {
+	return foxlift.Event{Kind: kind, ID: cl.job.number, Attempt: cl.attempt, Worker: cl.node}
 }
--- a/internal/core/relay.go
+++ b/internal/core/relay.go
@@ -1,6 +1,6 @@
 package core
 
-import "github.com/vatu-meals/cobaltgate"
+import "github.com/vatu-meals/foxlift"
 
 // Stage 5, relay: what execute nodes tell goes to the module, and the first
 // result to the submitter.
@@ -17,9 +17,9 @@
 	case e.report.Ended:
 		c.endClaim(cl, e.report)
 	case e.report.Progress:
-		c.news = append(c.news, cl.event(cobaltgate.EventProgress))
+		c.news = append(c.news, cl.event(foxlift.EventProgress))
 	default:
-		c.news = append(c.news, cl.event(cobaltgate.EventStarted))
+		c.news = append(c.news, cl.event(foxlift.EventStarted))
 	}
 }
 
@@ -36,7 +36,7 @@
 	if cl.withdraw != nil {
 		cl.withdraw() // no effect on one that has ended by itself
 	}
-	if r.Code == cobaltgate.Served {
+	if r.Code == foxlift.Served {
 		c.answer(cl.job, Answer{Verdict: Served, Result: r.Result})
 	}
 	c.bookClaim(cl, r)
--- a/internal/core/route.go
+++ b/internal/core/route.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"github.com/vatu-meals/cobaltgate"
+	"github.com/vatu-meals/foxlift"
 )
 
 // Stage 3, route: the module takes one step with all that is new, and its
@@ -21,33 +21,33 @@
 	}
 }
 
-func (c *Core) carryOut(a *cobaltgate.Action) {
+func (c *Core) carryOut(a *foxlift.Action) {
 	switch a.Kind {
-	case cobaltgate.ActionSend:
+	case foxlift.ActionSend:
 		if j := c.jobs[a.ID]; j != nil {
 			c.send(j, a.Worker, a.Timeout)
 		}
-	case cobaltgate.ActionCancel:
+	case foxlift.ActionCancel:
 		if j := c.jobs[a.ID]; j != nil && a.Attempt < len(j.claims) {
-			c.endClaim(j.claims[a.Attempt], Report{Ended: true, Code: cobaltgate.Cancelled})
+			c.endClaim(j.claims[a.Attempt], Report{Ended: true, Code: foxlift.Cancelled})
 		}
-	case cobaltgate.ActionRefuse:
+	case foxlift.ActionRefuse:
 		if j := c.jobs[a.ID]; j != nil {
 			c.answer(j, Answer{Verdict: Refused, RetryAfter: time.Duration(a.RetryAfter)})
 		}
-	case cobaltgate.ActionFail:
+	case foxlift.ActionFail:
 		if j := c.jobs[a.ID]; j != nil {
 			c.answer(j, Answer{Verdict: Failed, Reason: "given up"})
 		}
-	case cobaltgate.ActionTimer:
+	case foxlift.ActionTimer:
 		c.after(a.At-c.clock.Now(), timerDue{a.Token})
-	case cobaltgate.ActionProbe:
+	case foxlift.ActionProbe:
 		c.counters.Add("probes.sent")
 		node, sent := a.Worker, c.clock.Now()
 		c.nodes.Probe(node, func(r Report) { c.post(nodeProbed{node, sent, r}) })
-	case cobaltgate.ActionClose:
+	case foxlift.ActionClose:
 		c.nodes.CloseIdle(a.Worker)
-	case cobaltgate.ActionSubscribe:
+	case foxlift.ActionSubscribe:
 		c.machines.Watch()
 	}
 }
@@ -55,7 +55,7 @@
 type timerDue struct{ token uint64 }
 
 func (e timerDue) apply(c *Core) {
-	c.news = append(c.news, cobaltgate.Event{Kind: cobaltgate.EventTimer, Token: e.token})
+	c.news = append(c.news, foxlift.Event{Kind: foxlift.EventTimer, Token: e.token})
 }
 
 type nodeProbed struct {
@@ -65,8 +65,8 @@
 }
 
 func (e nodeProbed) apply(c *Core) {
-	c.news = append(c.news, cobaltgate.Event{
-		Kind: cobaltgate.EventProbed, Worker: e.node, Code: e.report.Code, Took: c.clock.Now() - e.sent,
+	c.news = append(c.news, foxlift.Event{
+		Kind: foxlift.EventProbed, Worker: e.node, Code: e.report.Code, Took: c.clock.Now() - e.sent,
 		HasLoad: e.report.HasLoad, Load: e.report.Load,
 	})
 }
--- a/internal/core/send.go
+++ b/internal/core/send.go
@@ -1,6 +1,6 @@
 package core
 
-import "github.com/vatu-meals/cobaltgate"
+import "github.com/vatu-meals/foxlift"
 
 // Stage 4, send: a claim is made and handed to Nodes. It ends at its limit, which
 // is never past the submitter's patience, whatever the node does.
@@ -11,13 +11,13 @@
 	j.out++
 	left := j.deadline - now
 	if j.answered || left <= 0 {
-		c.endClaim(cl, Report{Ended: true, Code: cobaltgate.NotSent})
+		c.endClaim(cl, Report{Ended: true, Code: foxlift.NotSent})
 		return
 	}
 	c.counters.Add("claims.sent")
 	if timeout <= 0 || timeout > left {
 		timeout = left
 	}
-	cl.limit = c.after(timeout, claimReported{cl, Report{Ended: true, Code: cobaltgate.TimedOut}})
+	cl.limit = c.after(timeout, claimReported{cl, Report{Ended: true, Code: foxlift.TimedOut}})
 	cl.withdraw = c.nodes.Send(node, j.Job, j.remaining(now), func(r Report) { c.post(claimReported{cl, r}) })
 }
--- a/internal/platform/attempt.go
+++ b/internal/platform/attempt.go
@@ -11,8 +11,8 @@
 	"net/http"
 	"time"
 
-	"github.com/vatu-meals/cobaltgate"
-	"github.com/vatu-meals/cobaltgate/internal/core"
+	"github.com/vatu-meals/foxlift"
+	"github.com/vatu-meals/foxlift/internal/core"
 )
 
 // An attempt carries out one claim: it connects to the execute node, writes the
@@ -35,23 +35,23 @@
 func (a *attempt) carryOut() core.Report {
 	addr, ok := a.nodes.list.address(a.node)
 	if !ok {
-		return ended(cobaltgate.NotSent)
+		return ended(foxlift.NotSent)
 	}
 	conn := a.nodes.reuse(addr)
 	if conn == nil {
 		var err error
 		if conn, err = a.nodes.dial(a.ctx, addr); errors.Is(err, errBudget) {
 			a.nodes.counters.Add("nodes.over_budget")
-			return ended(cobaltgate.NotSent)
+			return ended(foxlift.NotSent)
 		} else if err != nil {
-			return ended(cobaltgate.Unreachable)
+			return ended(foxlift.Unreachable)
 		}
 	}
 	// The list may have changed since the module decided, above all during a
 	// dial: nothing new goes to a node that drains or is gone.
 	if now, ok := a.nodes.list.address(a.node); !ok || now != addr || a.ctx.Err() != nil {
 		a.nodes.keep(conn)
-		return ended(cobaltgate.NotSent)
+		return ended(foxlift.NotSent)
 	}
 	// Withdrawing closes the connection: so the node learns of it.
 	stop := context.AfterFunc(a.ctx, func() { conn.Close() })
@@ -70,15 +70,15 @@
 	head := a.request()
 	if n, err := conn.Write(head); err != nil {
 		if n < len(head) {
-			return ended(cobaltgate.Unreachable), false // a node starts on the last byte
+			return ended(foxlift.Unreachable), false // a node starts on the last byte
 		}
-		return ended(cobaltgate.Reset), false
+		return ended(foxlift.Reset), false
 	}
 	m := conn.buf.message(maxResponse)
 	defer m.end()
 	resp, err := http.ReadResponse(m.Reader, nil)
 	if err != nil {
-		return ended(cobaltgate.Reset), false
+		return ended(foxlift.Reset), false
 	}
 	if resp.StatusCode != http.StatusOK {
 		_, err := io.Copy(io.Discard, resp.Body)
@@ -104,12 +104,12 @@
 
 // statusCode reads an answer other than 200. Only the protocol's own word proves
 // that the job never ran: any other 503 may come from anywhere.
-func statusCode(resp *http.Response) cobaltgate.Code {
+func statusCode(resp *http.Response) foxlift.Code {
 	turned := resp.StatusCode == http.StatusServiceUnavailable || resp.StatusCode == http.StatusGatewayTimeout
 	if turned && resp.Header.Get(headerTurnedAway) == "1" {
-		return cobaltgate.Full
+		return foxlift.Full
 	}
-	return cobaltgate.Erred
+	return foxlift.Erred
 }
 
 // A note is one line of a node's answer.
@@ -119,9 +119,9 @@
 	Result string `json:"result"`
 }
 
-var lastStates = map[string]cobaltgate.Code{
-	stateDone: cobaltgate.Served, stateFailed: cobaltgate.Erred,
-	stateReturned: cobaltgate.Full, stateLost: cobaltgate.Reset,
+var lastStates = map[string]foxlift.Code{
+	stateDone: foxlift.Served, stateFailed: foxlift.Erred,
+	stateReturned: foxlift.Full, stateLost: foxlift.Reset,
 }
 
 // readStates reads the lines of a node's answer, up to the body's proper end: a
@@ -138,15 +138,15 @@
 		}
 		var n note
 		if err := json.Unmarshal(line, &n); err != nil {
-			return ended(cobaltgate.Reset), err
+			return ended(foxlift.Reset), err
 		}
 		if n.ID != a.job.ID || last != nil {
-			return ended(cobaltgate.Reset), fmt.Errorf("a line that does not belong here")
+			return ended(foxlift.Reset), fmt.Errorf("a line that does not belong here")
 		}
 		switch code, isLast := lastStates[n.State]; {
 		case isLast:
 			last = &core.Report{Ended: true, Code: code}
-			if code == cobaltgate.Served {
+			if code == foxlift.Served {
 				last.Result = []byte(n.Result)
 			}
 		case n.State == stateStarted:
@@ -154,14 +154,14 @@
 		case n.State == stateRunning:
 			a.report(core.Report{Progress: true})
 		default:
-			return ended(cobaltgate.Reset), fmt.Errorf("unknown state %q", n.State)
+			return ended(foxlift.Reset), fmt.Errorf("unknown state %q", n.State)
 		}
 	}
 	if err := lines.Err(); err != nil {
-		return ended(cobaltgate.Reset), err
+		return ended(foxlift.Reset), err
 	}
 	if last == nil {
-		return ended(cobaltgate.Reset), io.ErrUnexpectedEOF
+		return ended(foxlift.Reset), io.ErrUnexpectedEOF
 	}
 	return *last, nil
 }
--- a/internal/platform/front.go
+++ b/internal/platform/front.go
@@ -7,8 +7,8 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/vatu-meals/cobaltgate/internal/core"
-	"github.com/vatu-meals/cobaltgate/internal/counters"
+	"github.com/vatu-meals/foxlift/internal/core"
+	"github.com/vatu-meals/foxlift/internal/counters"
 )
 
 // A front accepts the submitters' connections, as many as its budget allows.
--- a/internal/platform/machines.go
+++ b/internal/platform/machines.go
@@ -10,8 +10,8 @@
 	"sync"
 	"time"
 
-	"github.com/vatu-meals/cobaltgate"
-	"github.com/vatu-meals/cobaltgate/internal/config"
+	"github.com/vatu-meals/foxlift"
+	"github.com/vatu-meals/foxlift/internal/config"
 )
 
 const (
@@ -27,7 +27,7 @@
 type machines struct {
 	addr     string
 	settings *config.Settings
-	tell     func(cobaltgate.ListKind, []cobaltgate.Worker)
+	tell     func(foxlift.ListKind, []foxlift.Worker)
 
 	mu       sync.Mutex
 	entries  map[string]machine
@@ -38,10 +38,10 @@
 // A machine is an execute node's entry in the list.
 type machine struct {
 	dial  string
-	state cobaltgate.WorkerState
+	state foxlift.WorkerState
 }
 
-func newMachines(addr string, s *config.Settings, tell func(cobaltgate.ListKind, []cobaltgate.Worker)) *machines {
+func newMachines(addr string, s *config.Settings, tell func(foxlift.ListKind, []foxlift.Worker)) *machines {
 	return &machines{addr: addr, settings: s, tell: tell, entries: map[string]machine{}}
 }
 
@@ -60,8 +60,8 @@
 	} `json:"hosts"`
 }
 
-var healths = map[string]cobaltgate.WorkerState{
-	healthActive: cobaltgate.Live, healthLeaving: cobaltgate.Draining, healthLeft: cobaltgate.Gone,
+var healths = map[string]foxlift.WorkerState{
+	healthActive: foxlift.Live, healthLeaving: foxlift.Draining, healthLeft: foxlift.Gone,
 }
 
 // parseListing reads an answer; one that is faulty anywhere is refused whole.
@@ -88,7 +88,7 @@
 }
 
 // load takes the list as last known before the start.
-func (m *machines) load(known []byte) ([]cobaltgate.Worker, error) {
+func (m *machines) load(known []byte) ([]foxlift.Worker, error) {
 	if len(known) == 0 || string(known) == "null" {
 		return nil, nil
 	}
@@ -101,18 +101,18 @@
 }
 
 // take puts an answer into the list and returns it in the module's terms.
-func (m *machines) take(l *listing) []cobaltgate.Worker {
+func (m *machines) take(l *listing) []foxlift.Worker {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if l.Whole {
 		clear(m.entries)
 	}
 	m.version = *l.Version
-	var workers []cobaltgate.Worker
+	var workers []foxlift.Worker
 	for _, h := range l.Hosts {
 		state := healths[h.Health]
 		m.entries[h.Host] = machine{h.Dial, state}
-		workers = append(workers, cobaltgate.Worker{
+		workers = append(workers, foxlift.Worker{
 			ID: h.Host, Zone: config.Find(m.settings.Zones, h.Zone), Kind: config.Find(m.settings.Kinds, h.Kind),
 			Cell: h.Cell, State: state, Started: h.Born * int64(time.Millisecond),
 		})
@@ -125,7 +125,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	e, ok := m.entries[node]
-	return e.dial, ok && e.state == cobaltgate.Live
+	return e.dial, ok && e.state == foxlift.Live
 }
 
 // Watch implements core.MachineList.
@@ -145,7 +145,7 @@
 	m.watching = false
 	m.mu.Unlock()
 	if err != nil {
-		m.tell(cobaltgate.ListFailed, nil)
+		m.tell(foxlift.ListFailed, nil)
 	}
 }
 
@@ -153,8 +153,8 @@
 	c := &caller{addr: m.addr}
 	defer c.close()
 	whole := true // a first call, and one after a gap, takes the whole list
-	var kind cobaltgate.ListKind
-	var news []cobaltgate.Worker
+	var kind foxlift.ListKind
+	var news []foxlift.Worker
 	var told bool
 	for {
 		target, limit := pathMembers, listLimit
@@ -188,9 +188,9 @@
 		}
 		told = l.Whole || len(l.Hosts) > 0
 		news = m.take(l)
-		kind = cobaltgate.ListChanges
+		kind = foxlift.ListChanges
 		if l.Whole {
-			kind = cobaltgate.ListFull
+			kind = foxlift.ListFull
 		}
 		whole = time.Since(answered) > watchBroken
 	}
--- a/internal/platform/nodes.go
+++ b/internal/platform/nodes.go
@@ -7,10 +7,10 @@
 	"sync"
 	"time"
 
-	"github.com/vatu-meals/cobaltgate"
-	"github.com/vatu-meals/cobaltgate/internal/config"
-	"github.com/vatu-meals/cobaltgate/internal/core"
-	"github.com/vatu-meals/cobaltgate/internal/counters"
+	"github.com/vatu-meals/foxlift"
+	"github.com/vatu-meals/foxlift/internal/config"
+	"github.com/vatu-meals/foxlift/internal/core"
+	"github.com/vatu-meals/foxlift/internal/counters"
 )
 
 const (
@@ -185,4 +185,4 @@
 
 var _ core.Nodes = (*nodes)(nil)
 
-func ended(c cobaltgate.Code) core.Report { return core.Report{Ended: true, Code: c} }
+func ended(c foxlift.Code) core.Report { return core.Report{Ended: true, Code: c} }
--- a/internal/platform/parse.go
+++ b/internal/platform/parse.go
@@ -9,8 +9,8 @@
 	"strings"
 	"time"
 
-	"github.com/vatu-meals/cobaltgate/internal/config"
-	"github.com/vatu-meals/cobaltgate/internal/core"
+	"github.com/vatu-meals/foxlift/internal/config"
+	"github.com/vatu-meals/foxlift/internal/core"
 )
 
 // A payload is what an execute node is sent of a job.
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -5,9 +5,9 @@
 	"net"
 	"time"
 
-	"github.com/vatu-meals/cobaltgate/internal/config"
-	"github.com/vatu-meals/cobaltgate/internal/core"
-	"github.com/vatu-meals/cobaltgate/internal/counters"
+	"github.com/vatu-meals/foxlift/internal/config"
+	"github.com/vatu-meals/foxlift/internal/core"
+	"github.com/vatu-meals/foxlift/internal/counters"
 )
 
 // How the descriptors are shared: most go to submitters, of whom many wait for
--- a/internal/platform/probe.go
+++ b/internal/platform/probe.go
@@ -10,8 +10,8 @@
 	"strings"
 	"time"
 
-	"github.com/vatu-meals/cobaltgate"
-	"github.com/vatu-meals/cobaltgate/internal/core"
+	"github.com/vatu-meals/foxlift"
+	"github.com/vatu-meals/foxlift/internal/core"
 )
 
 const probeLimit = 500 * time.Millisecond // for a probe's answer
@@ -24,15 +24,15 @@
 func (n *nodes) probe(node string) core.Report {
 	addr, ok := n.list.address(node)
 	if !ok {
-		return ended(cobaltgate.NotSent)
+		return ended(foxlift.NotSent)
 	}
 	conn := n.reuse(addr)
 	if conn == nil {
 		var err error
 		if conn, err = n.dial(context.Background(), addr); errors.Is(err, errBudget) {
-			return ended(cobaltgate.NotSent)
+			return ended(foxlift.NotSent)
 		} else if err != nil {
-			return ended(cobaltgate.Unreachable)
+			return ended(foxlift.Unreachable)
 		}
 	}
 	conn.SetDeadline(time.Now().Add(probeLimit))
@@ -51,23 +51,23 @@
 		path = pathLoad
 	}
 	if _, err := fmt.Fprintf(conn, "GET %s HTTP/1.1\r\nHost: %s\r\n\r\n", path, node); err != nil {
-		return ended(cobaltgate.Unreachable), false
+		return ended(foxlift.Unreachable), false
 	}
 	m := conn.buf.message(maxResponse)
 	defer m.end()
 	resp, err := http.ReadResponse(m.Reader, nil)
 	if err != nil {
-		return ended(cobaltgate.TimedOut), false
+		return ended(foxlift.TimedOut), false
 	}
 	body, err := io.ReadAll(resp.Body)
 	if err != nil {
-		return ended(cobaltgate.Reset), false
+		return ended(foxlift.Reset), false
 	}
 	reusable := !resp.Close && m.Buffered() == 0
 	if resp.StatusCode != http.StatusOK {
-		return ended(cobaltgate.Erred), reusable
+		return ended(foxlift.Erred), reusable
 	}
-	r := ended(cobaltgate.Served)
+	r := ended(foxlift.Served)
 	if n.withLoad {
 		r.Load, r.HasLoad = parseLoad(string(body), n.loadNames)
 	}
@@ -76,7 +76,7 @@
 
 // parseLoad reads a load report, name=value,name=value, in the settings' order.
 // A report that lacks a value counts as none.
-func parseLoad(s string, names []string) (load [cobaltgate.MaxGauges]float64, ok bool) {
+func parseLoad(s string, names []string) (load [foxlift.MaxGauges]float64, ok bool) {
 	values := map[string]float64{}
 	for part := range strings.SplitSeq(strings.TrimSpace(s), ",") {
 		name, value, _ := strings.Cut(strings.TrimSpace(part), "=")
--- a/internal/platform/submitter.go
+++ b/internal/platform/submitter.go
@@ -11,7 +11,7 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/vatu-meals/cobaltgate/internal/core"
+	"github.com/vatu-meals/foxlift/internal/core"
 )
 
 const (
--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -3,12 +3,12 @@
 import (
 	"github.com/valyala/fastjson"
 
-	"github.com/vatu-meals/cobaltgate"
-	"github.com/vatu-meals/cobaltgate/internal/config"
+	"github.com/vatu-meals/foxlift"
+	"github.com/vatu-meals/foxlift/internal/config"
 )
 
 // Settings turns the settings of an instance into a Config and its tables.
-func Settings(instance string, v *fastjson.Value) (*cobaltgate.Config, *Names, error) {
+func Settings(instance string, v *fastjson.Value) (*foxlift.Config, *Names, error) {
 	s, err := config.ParseSettings(v.MarshalTo(nil))
 	if err != nil {
 		return nil, nil, err
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -1,5 +1,5 @@
 // Package wire translates between the JSON dialect of the schedulers' bench and
-// the types of package cobaltgate. It decides nothing.
+// the types of package foxlift. It decides nothing.
 package wire
 
 import (
@@ -10,8 +10,8 @@
 
 	"github.com/valyala/fastjson"
 
-	"github.com/vatu-meals/cobaltgate"
-	"github.com/vatu-meals/cobaltgate/internal/config"
+	"github.com/vatu-meals/foxlift"
+	"github.com/vatu-meals/foxlift/internal/config"
 )
 
 // A Handler receives the decoded messages of a batch in order. Its errors end
@@ -21,7 +21,7 @@
 	Down(instance string) error
 	// Names returns the tables of a running instance, or nil if there is none.
 	Names(instance []byte) *Names
-	Event(n *Names, ev *cobaltgate.Event) error
+	Event(n *Names, ev *foxlift.Event) error
 }
 
 // Names holds what one instance's messages are translated with.
@@ -38,8 +38,8 @@
 // A Decoder reads batches. It is not safe for concurrent use.
 type Decoder struct {
 	parser  fastjson.Parser
-	event   cobaltgate.Event
-	entries []cobaltgate.Worker
+	event   foxlift.Event
+	entries []foxlift.Worker
 }
 
 // A Batch is the frame of one line.
@@ -132,7 +132,7 @@
 	if n.workers == nil {
 		return nil // its settings could not be run; that was reported
 	}
-	d.event = cobaltgate.Event{}
+	d.event = foxlift.Event{}
 	var err error
 	switch name {
 	case "registry":
@@ -140,17 +140,17 @@
 	case "accept":
 		err = d.request(n, f)
 	case "flowing":
-		d.event.Kind, d.event.Stream = cobaltgate.EventStarted, true
+		d.event.Kind, d.event.Stream = foxlift.EventStarted, true
 		err = d.attempt(n, f[2], f[3], f[4])
 	case "interim":
 		err = d.interim(n, f)
 	case "completed":
 		err = d.outcome(n, f)
 	case "clientLeft":
-		d.event.Kind = cobaltgate.EventClientLeft
+		d.event.Kind = foxlift.EventClientLeft
 		d.event.ID, err = unsigned(f[2], "xid")
 	case "deadlineHit":
-		d.event.Kind = cobaltgate.EventTimer
+		d.event.Kind = foxlift.EventTimer
 		d.event.Token, err = unsigned(f[2], "name")
 	case "probeDone":
 		err = d.probed(n, f)
@@ -180,16 +180,16 @@
 	if err != nil {
 		return err
 	}
-	d.event.Kind = cobaltgate.EventProgress
+	d.event.Kind = foxlift.EventProgress
 	if kind == 1 {
-		d.event.Kind = cobaltgate.EventStarted
+		d.event.Kind = foxlift.EventStarted
 	}
 	return d.attempt(n, f[2], f[5], f[6])
 }
 
 func (d *Decoder) outcome(n *Names, f []*fastjson.Value) (err error) {
 	e := &d.event
-	e.Kind = cobaltgate.EventOutcome
+	e.Kind = foxlift.EventOutcome
 	if err = d.attempt(n, f[2], f[3], f[6]); err != nil {
 		return err
 	}
@@ -207,7 +207,7 @@
 
 func (d *Decoder) probed(n *Names, f []*fastjson.Value) (err error) {
 	e := &d.event
-	e.Kind = cobaltgate.EventProbed
+	e.Kind = foxlift.EventProbed
 	if e.Worker, err = n.worker(f[2]); err != nil {
 		return err
 	}
@@ -233,7 +233,7 @@
 	if err != nil {
 		return fmt.Errorf("content: %v", err)
 	}
-	d.event.Kind, d.event.From, d.event.Data = cobaltgate.EventMessage, int(from), data
+	d.event.Kind, d.event.From, d.event.Data = foxlift.EventMessage, int(from), data
 	return nil
 }
 
@@ -246,7 +246,7 @@
 		return err
 	}
 	for i, x := range row {
-		if i == cobaltgate.MaxGauges {
+		if i == foxlift.MaxGauges {
 			break
 		}
 		if d.event.Load[i], err = number(x, "feedback"); err != nil {
@@ -259,7 +259,7 @@
 
 func (d *Decoder) request(n *Names, f []*fastjson.Value) (err error) {
 	e := &d.event
-	e.Kind = cobaltgate.EventRequest
+	e.Kind = foxlift.EventRequest
 	r := &e.Request
 	if r.ID, err = unsigned(f[2], "xid"); err != nil {
 		return err
@@ -315,13 +315,13 @@
 	return config.ParseKey(s), err
 }
 
-var listKinds = map[string]cobaltgate.ListKind{
-	"incr": cobaltgate.ListChanges, "total": cobaltgate.ListFull,
-	"warm_copy": cobaltgate.ListSaved, "lost": cobaltgate.ListFailed,
+var listKinds = map[string]foxlift.ListKind{
+	"incr": foxlift.ListChanges, "total": foxlift.ListFull,
+	"warm_copy": foxlift.ListSaved, "lost": foxlift.ListFailed,
 }
 
-var states = map[string]cobaltgate.WorkerState{
-	"live": cobaltgate.Live, "quiescing": cobaltgate.Draining, "dead": cobaltgate.Gone,
+var states = map[string]foxlift.WorkerState{
+	"live": foxlift.Live, "quiescing": foxlift.Draining, "dead": foxlift.Gone,
 }
 
 func (d *Decoder) list(n *Names, f []*fastjson.Value) error {
@@ -333,7 +333,7 @@
 	if !ok {
 		return fmt.Errorf("unknown scope %q", scope)
 	}
-	d.event.Kind, d.event.List = cobaltgate.EventList, kind
+	d.event.Kind, d.event.List = foxlift.EventList, kind
 	d.entries = d.entries[:0]
 	if !absent(f[4]) {
 		items, err := array(f[4], "items")
@@ -352,7 +352,7 @@
 	return nil
 }
 
-func (n *Names) entry(v *fastjson.Value) (w cobaltgate.Worker, err error) {
+func (n *Names) entry(v *fastjson.Value) (w foxlift.Worker, err error) {
 	f, err := array(v, "entry")
 	if err != nil {
 		return w, err
@@ -412,22 +412,22 @@
 	return n.intern(s), nil
 }
 
-func code(v *fastjson.Value) (cobaltgate.Code, error) {
+func code(v *fastjson.Value) (foxlift.Code, error) {
 	c, err := integer(v, "rc")
 	if err != nil {
 		return 0, err
 	}
 	if c == 100 {
-		return cobaltgate.Served, nil
+		return foxlift.Served, nil
 	}
 	if c < 301 || c > 307 {
 		return 0, fmt.Errorf("unknown rc %d", c)
 	}
-	return cobaltgate.Code(c-301) + cobaltgate.Erred, nil
+	return foxlift.Code(c-301) + foxlift.Erred, nil
 }
 
 // Append writes one action of an instance as JSON.
-func Append(b []byte, instance string, a *cobaltgate.Action) []byte {
+func Append(b []byte, instance string, a *foxlift.Action) []byte {
 	open := func(name string) {
 		b = append(b, '[', '"')
 		b = append(b, name...)
@@ -439,37 +439,37 @@
 	id := func() { b = strconv.AppendUint(append(b, ','), a.ID, 10) }
 	str := func(s string) { b = append(append(append(b, ',', '"'), s...), '"') }
 	switch a.Kind {
-	case cobaltgate.ActionSend:
+	case foxlift.ActionSend:
 		open("try")
 		id()
 		str(a.Worker)
 		num(a.Timeout)
-	case cobaltgate.ActionRefuse:
+	case foxlift.ActionRefuse:
 		open("shed")
 		id()
 		num(a.RetryAfter)
-	case cobaltgate.ActionFail:
+	case foxlift.ActionFail:
 		open("finishError")
 		id()
-	case cobaltgate.ActionCancel:
+	case foxlift.ActionCancel:
 		open("recall")
 		id()
 		num(int64(a.Attempt))
-	case cobaltgate.ActionTimer:
+	case foxlift.ActionTimer:
 		open("notifyMe")
 		num(a.At)
 		b = strconv.AppendUint(append(b, ','), a.Token, 10)
-	case cobaltgate.ActionProbe:
+	case foxlift.ActionProbe:
 		open("poll")
 		str(a.Worker)
-	case cobaltgate.ActionClose:
+	case foxlift.ActionClose:
 		open("letGo")
 		str(a.Worker)
-	case cobaltgate.ActionMessage:
+	case foxlift.ActionMessage:
 		open("post")
 		num(int64(a.To))
 		str(base64.StdEncoding.EncodeToString(a.Data))
-	case cobaltgate.ActionSubscribe:
+	case foxlift.ActionSubscribe:
 		open("subscribe")
 		b = append(b, ",true"...)
 	}
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -5,13 +5,13 @@
 
 	"github.com/valyala/fastjson"
 
-	"github.com/vatu-meals/cobaltgate"
+	"github.com/vatu-meals/foxlift"
 )
 
 // A recorder keeps the events decoded.
 type recorder struct {
 	names  *Names
-	events []cobaltgate.Event
+	events []foxlift.Event
 }
 
 func (r *recorder) Attach(instance string, _ uint64, v *fastjson.Value) (err error) {
@@ -20,12 +20,12 @@
 }
 func (r *recorder) Down(string) error   { return nil }
 func (r *recorder) Names([]byte) *Names { return r.names }
-func (r *recorder) Event(_ *Names, e *cobaltgate.Event) error {
+func (r *recorder) Event(_ *Names, e *foxlift.Event) error {
 	r.events = append(r.events, *e)
 	return nil
 }
 
-func decode(t *testing.T, line string) []cobaltgate.Event {
+func decode(t *testing.T, line string) []foxlift.Event {
 	t.Helper()
 	var d Decoder
 	r := &recorder{}
@@ -53,31 +53,31 @@
 		r.Size != 12000000 || r.Slots != 2 || r.Tenant != 0 || r.Memory != 1.5 || r.Repeat {
 		t.Errorf("request %+v", r)
 	}
-	if ev[1].Token != 77 || ev[2].ID != 242166553 || ev[2].Kind != cobaltgate.EventClientLeft {
+	if ev[1].Token != 77 || ev[2].ID != 242166553 || ev[2].Kind != foxlift.EventClientLeft {
 		t.Errorf("timer %+v, client %+v", ev[1], ev[2])
 	}
-	if o := ev[3]; o.Code != cobaltgate.Served || !o.Ended || o.Took != 18500000 || o.Load[3] != 1.25 || !o.HasLoad {
+	if o := ev[3]; o.Code != foxlift.Served || !o.Ended || o.Took != 18500000 || o.Load[3] != 1.25 || !o.HasLoad {
 		t.Errorf("outcome %+v", o)
 	}
 	w := ev[4].Workers[0]
-	if w.Zone != 1 || w.Kind != 0 || w.Cell != 3 || w.State != cobaltgate.Draining || w.Started != 6100000000 {
+	if w.Zone != 1 || w.Kind != 0 || w.Cell != 3 || w.State != foxlift.Draining || w.Started != 6100000000 {
 		t.Errorf("worker %+v", w)
 	}
-	if p := ev[5]; p.Code != cobaltgate.Unreachable || p.HasLoad || p.Kind != cobaltgate.EventProbed {
+	if p := ev[5]; p.Code != foxlift.Unreachable || p.HasLoad || p.Kind != foxlift.EventProbed {
 		t.Errorf("probe %+v", p)
 	}
 	if m := ev[6]; m.From != 2 || string(m.Data) != "hi 7" {
 		t.Errorf("message %+v", m)
 	}
-	if n := ev[7]; n.Kind != cobaltgate.EventStarted || n.Attempt != 1 || n.ID != 9 {
+	if n := ev[7]; n.Kind != foxlift.EventStarted || n.Attempt != 1 || n.ID != 9 {
 		t.Errorf("note %+v", n)
 	}
 }
 
 func TestCodes(t *testing.T) {
-	want := map[string]cobaltgate.Code{
-		"100": cobaltgate.Served, "301": cobaltgate.Erred, "302": cobaltgate.Full, "303": cobaltgate.TimedOut,
-		"304": cobaltgate.Unreachable, "305": cobaltgate.Reset, "306": cobaltgate.Cancelled, "307": cobaltgate.NotSent,
+	want := map[string]foxlift.Code{
+		"100": foxlift.Served, "301": foxlift.Erred, "302": foxlift.Full, "303": foxlift.TimedOut,
+		"304": foxlift.Unreachable, "305": foxlift.Reset, "306": foxlift.Cancelled, "307": foxlift.NotSent,
 	}
 	for s, c := range want {
 		ev := decode(t, `{"simTime":2,"batch":2,"news":[["completed","scheduler_3",1,"w:1",1,false,0,`+s+`,null,null]]}`)
@@ -88,17 +88,17 @@
 }
 
 func TestAppend(t *testing.T) {
-	for want, a := range map[string]cobaltgate.Action{
-		`["try","scheduler_3",5,"10.18.74.7:8083",80000000]`: {Kind: cobaltgate.ActionSend, ID: 5,
+	for want, a := range map[string]foxlift.Action{
+		`["try","scheduler_3",5,"10.18.74.7:8083",80000000]`: {Kind: foxlift.ActionSend, ID: 5,
 			Worker: "10.18.74.7:8083", Timeout: 80000000},
-		`["shed","scheduler_3",5,250000000]`:   {Kind: cobaltgate.ActionRefuse, ID: 5, RetryAfter: 250000000},
-		`["finishError","scheduler_3",5]`:      {Kind: cobaltgate.ActionFail, ID: 5},
-		`["recall","scheduler_3",5,1]`:         {Kind: cobaltgate.ActionCancel, ID: 5, Attempt: 1},
-		`["notifyMe","scheduler_3",8912,77]`:   {Kind: cobaltgate.ActionTimer, At: 8912, Token: 77},
-		`["poll","scheduler_3","w:1"]`:         {Kind: cobaltgate.ActionProbe, Worker: "w:1"},
-		`["letGo","scheduler_3","w:1"]`:        {Kind: cobaltgate.ActionClose, Worker: "w:1"},
-		`["post","scheduler_3",-1,"aGkgNw=="]`: {Kind: cobaltgate.ActionMessage, To: -1, Data: []byte("hi 7")},
-		`["subscribe","scheduler_3",true]`:     {Kind: cobaltgate.ActionSubscribe},
+		`["shed","scheduler_3",5,250000000]`:   {Kind: foxlift.ActionRefuse, ID: 5, RetryAfter: 250000000},
+		`["finishError","scheduler_3",5]`:      {Kind: foxlift.ActionFail, ID: 5},
+		`["recall","scheduler_3",5,1]`:         {Kind: foxlift.ActionCancel, ID: 5, Attempt: 1},
+		`["notifyMe","scheduler_3",8912,77]`:   {Kind: foxlift.ActionTimer, At: 8912, Token: 77},
+		`["poll","scheduler_3","w:1"]`:         {Kind: foxlift.ActionProbe, Worker: "w:1"},
+		`["letGo","scheduler_3","w:1"]`:        {Kind: foxlift.ActionClose, Worker: "w:1"},
+		`["post","scheduler_3",-1,"aGkgNw=="]`: {Kind: foxlift.ActionMessage, To: -1, Data: []byte("hi 7")},
+		`["subscribe","scheduler_3",true]`:     {Kind: foxlift.ActionSubscribe},
 	} {
 		if got := string(Append(nil, "scheduler_3", &a)); got != want {
 			t.Errorf("%s, want %s", got, want)
@@ -118,10 +118,10 @@
 	if c.Dispatchers != 3 || c.Index != 2 || !c.ListOnRequest || c.Zone != 1 || c.MustAskIn != 10 {
 		t.Errorf("config %+v", c)
 	}
-	if k := c.Classes[0]; k.Aim != 5 || k.Stretch != 1.75 || k.Kind != 0 || k.Effect != cobaltgate.AtMostOnce {
+	if k := c.Classes[0]; k.Aim != 5 || k.Stretch != 1.75 || k.Kind != 0 || k.Effect != foxlift.AtMostOnce {
 		t.Errorf("class %+v", k)
 	}
-	g := []cobaltgate.Gauge{cobaltgate.GaugeBusy, cobaltgate.GaugeFreeSlots, cobaltgate.GaugeFreeMemory, 0}
+	g := []foxlift.Gauge{foxlift.GaugeBusy, foxlift.GaugeFreeSlots, foxlift.GaugeFreeMemory, 0}
 	for i := range g {
 		if c.Gauges[i] != g[i] {
 			t.Errorf("gauge %d is %d, want %d", i, c.Gauges[i], g[i])
--- a/state.go
+++ b/state.go
@@ -1,4 +1,4 @@
-package cobaltgate
+package foxlift
 
 // The state that dispatcher.go decides on, and the containers that hold it.
 // Nothing is decided here.
