--- a/internal/core/takein.go
+++ b/internal/core/takein.go
@@ -23,11 +23,14 @@
 	j := &job{Job: e.job, number: c.numbered, deadline: e.job.Arrived + wait}
 	c.jobs[j.number], c.open[j.ID] = j, j
 	// The module answers every job in time. Should it ever not, the submitter
-	// still gets an answer.
-	j.overdue = c.after(j.deadline+c.settings.Module.AnswerGrace-c.clock.Now(), jobOverdue{j})
+	// still gets an answer: a little later than the end of the last claim, which
+	// the module must hear of first.
+	j.overdue = c.after(j.deadline+int64(overdueAfter)-c.clock.Now(), jobOverdue{j})
 	c.admit(j, class, tenant)
 }
 
+const overdueAfter = 30 * time.Millisecond // past the deadline; rules on sockets allow over 50
+
 // check looks up the job's class and tenant; reason says what is wrong with it.
 func (c *Core) check(j *Job) (class, tenant int, reason string) {
 	class, ok := c.settings.Classes[j.Class]
--- a/internal/platform/buffer.go
+++ b/internal/platform/buffer.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net"
+	"net/http"
 	"sync"
 	"syscall"
 )
@@ -97,6 +98,16 @@
 	return m
 }
 
+// response reads the head of a response; provisional ones before it say nothing.
+func (m *message) response() (*http.Response, error) {
+	for {
+		resp, err := http.ReadResponse(m.Reader, nil)
+		if err != nil || resp.StatusCode >= 200 || resp.StatusCode == http.StatusSwitchingProtocols {
+			return resp, err
+		}
+	}
+}
+
 // end drops what the parser has used of the buffer.
 func (m *message) end() {
 	m.b.r += m.at - m.Buffered()
--- a/internal/platform/front.go
+++ b/internal/platform/front.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"net"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -11,15 +12,22 @@
 	"github.com/vatu-meals/foxlift/internal/counters"
 )
 
+// A listener is a net.TCPListener, or one in a test.
+type listener interface {
+	net.Listener
+	SetDeadline(time.Time) error
+}
+
 // A front accepts the submitters' connections, as many as its budget allows.
 type front struct {
 	core     *core.Core
 	clock    core.Clock
 	counters *counters.Set
-	listener *net.TCPListener
+	listener listener
 	budget   int
-	ending   atomic.Bool // health is 503 and answers end their connections
-	closing  atomic.Bool // the listener is closed
+	ending   atomic.Bool   // health is 503 and answers end their connections
+	closing  atomic.Bool   // no more is accepted than waits already
+	accepted chan struct{} // closed when accept has returned
 
 	mu    sync.Mutex
 	freed *sync.Cond // a connection has ended
@@ -27,8 +35,8 @@
 	idle  []*submitter // the longest idle first
 }
 
-func newFront(c *core.Core, clock core.Clock, set *counters.Set, l *net.TCPListener, budget int) *front {
-	f := &front{core: c, clock: clock, counters: set, listener: l, budget: budget, all: map[*submitter]struct{}{}}
+func newFront(c *core.Core, clock core.Clock, set *counters.Set, l listener, budget int) *front {
+	f := &front{core: c, clock: clock, counters: set, listener: l, budget: budget, accepted: make(chan struct{}), all: map[*submitter]struct{}{}}
 	f.freed = sync.NewCond(&f.mu)
 	return f
 }
@@ -40,8 +48,10 @@
 	acceptPauseUp = 500 * time.Millisecond
 )
 
-// accept runs until the listener is closed.
+// accept runs until the listener is closed, or until it fails while the front is
+// closing.
 func (f *front) accept() {
+	defer close(f.accepted)
 	pause := acceptPause
 	for {
 		f.awaitRoom()
@@ -54,7 +64,7 @@
 			// accepting goes on after a while, always.
 			f.counters.Add("accept.failed")
 			f.retireOldest()
-			time.Sleep(pause)
+			<-time.After(pause)
 			pause = min(2*pause, acceptPauseUp)
 			continue
 		}
@@ -99,16 +109,19 @@
 func (f *front) retireOldestLocked() {
 	for _, s := range f.idle {
 		if !s.retire.Load() {
-			s.wakeToRetire()
+			f.retireLocked(s)
 			return
 		}
 	}
 }
 
-// wakeToRetire ends a connection once it is idle.
-func (s *submitter) wakeToRetire() {
+// retireLocked ends a connection as soon as it is idle. Only an idle one is woken:
+// a deadline in the past would break the reading of a request.
+func (f *front) retireLocked(s *submitter) {
 	s.retire.Store(true)
-	s.conn.SetReadDeadline(wakeUp)
+	if slices.Contains(f.idle, s) {
+		s.conn.SetReadDeadline(wakeUp)
+	}
 }
 
 // setIdle keeps the list of idle connections. One that becomes idle while
@@ -123,11 +136,8 @@
 		}
 		return
 	}
-	for i, x := range f.idle {
-		if x == s {
-			f.idle = append(f.idle[:i], f.idle[i+1:]...)
-			return
-		}
+	if i := slices.Index(f.idle, s); i >= 0 {
+		f.idle = slices.Delete(f.idle, i, i+1)
 	}
 }
 
@@ -135,25 +145,19 @@
 // the listener and the idle connections, and returns when all are answered.
 func (f *front) shutDown(moments time.Duration) {
 	f.ending.Store(true)
-	time.Sleep(moments)
+	<-time.After(moments)
 	f.closing.Store(true)
-	// What the kernel has accepted counts as accepted: it is served too.
-	f.listener.SetDeadline(time.Now().Add(backlogTime))
 	f.mu.Lock()
 	f.freed.Broadcast()
 	f.mu.Unlock()
-	for {
-		conn, err := f.listener.Accept()
-		if err != nil {
-			break
-		}
-		f.begin(conn)
-	}
+	// What the kernel has accepted counts as accepted: it is served too.
+	f.listener.SetDeadline(time.Now().Add(backlogTime))
+	<-f.accepted
 	f.listener.Close()
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for s := range f.all {
-		s.wakeToRetire()
+		f.retireLocked(s)
 	}
 	for len(f.all) > 0 {
 		f.freed.Wait()
--- a/internal/platform/machines.go
+++ b/internal/platform/machines.go
@@ -162,14 +162,15 @@
 			target = fmt.Sprintf("%s?index=%d&wait=%d", pathMembers, m.version, watchWait.Milliseconds())
 			limit = watchWait + watchSlack
 		}
-		if err := c.send(target, limit); err != nil {
-			return err
-		}
+		err := c.send(target, limit)
 		// The core hears of an answer once the next call is out: nothing that
 		// happens here may delay that call.
 		if told {
 			m.tell(kind, news)
 		}
+		if err != nil {
+			return err
+		}
 		body, err := c.receive()
 		if err != nil {
 			return err
@@ -226,7 +227,7 @@
 func (c *caller) receive() ([]byte, error) {
 	msg := c.buf.message(maxResponse)
 	defer msg.end()
-	resp, err := http.ReadResponse(msg.Reader, nil)
+	resp, err := msg.response()
 	if err != nil {
 		return nil, err
 	}
--- a/internal/platform/nodes.go
+++ b/internal/platform/nodes.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/vatu-meals/foxlift"
@@ -22,7 +23,7 @@
 
 // nodes holds the connections to execute nodes. It implements core.Nodes.
 type nodes struct {
-	list      *machines
+	address   func(node string) (string, bool) // where a node listens, if new work may go there now
 	counters  *counters.Set
 	connect   time.Duration // most that a dial may take
 	idleLimit time.Duration // after which an idle connection is dropped
@@ -46,7 +47,7 @@
 
 func newNodes(list *machines, s *config.Settings, set *counters.Set, budget int) *nodes {
 	n := &nodes{
-		list: list, counters: set, connect: defaultConnect, idleLimit: defaultIdle, budget: budget,
+		address: list.address, counters: set, connect: defaultConnect, idleLimit: defaultIdle, budget: budget,
 		withLoad: len(s.GaugeNames) > 0, loadNames: s.GaugeNames, idle: map[string][]*nodeConn{},
 	}
 	if s.ConnectTimeout > 0 {
@@ -146,6 +147,24 @@
 	return nil
 }
 
+// take returns a connection to an address, an idle one if there is any. Without
+// one, code says why: a lack of descriptors is no fault of the node.
+func (n *nodes) take(ctx context.Context, addr string) (c *nodeConn, code foxlift.Code) {
+	if c = n.reuse(addr); c != nil {
+		return c, 0
+	}
+	c, err := n.dial(ctx, addr)
+	switch {
+	case err == nil:
+		return c, 0
+	case errors.Is(err, errBudget), errors.Is(err, syscall.EMFILE), errors.Is(err, syscall.ENFILE):
+		n.counters.Add("nodes.no_descriptor")
+		return nil, foxlift.NotSent
+	}
+	n.counters.Add("nodes.dial_failed")
+	return nil, foxlift.Unreachable
+}
+
 // dial opens a connection. It does not block longer than the settings' limit.
 func (n *nodes) dial(ctx context.Context, addr string) (*nodeConn, error) {
 	if err := n.reserve(); err != nil {
@@ -157,7 +176,6 @@
 		n.mu.Lock()
 		n.open--
 		n.mu.Unlock()
-		n.counters.Add("nodes.dial_failed")
 		return nil, err
 	}
 	n.counters.Add("nodes.dialed")
@@ -166,7 +184,7 @@
 
 // CloseIdle implements core.Nodes.
 func (n *nodes) CloseIdle(node string) {
-	addr, _ := n.list.address(node)
+	addr, _ := n.address(node)
 	n.mu.Lock()
 	stack := append([]*nodeConn(nil), n.idle[addr]...)
 	n.mu.Unlock()
--- a/internal/platform/probe.go
+++ b/internal/platform/probe.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -22,18 +21,13 @@
 }
 
 func (n *nodes) probe(node string) core.Report {
-	addr, ok := n.list.address(node)
+	addr, ok := n.address(node)
 	if !ok {
 		return ended(foxlift.NotSent)
 	}
-	conn := n.reuse(addr)
+	conn, code := n.take(context.Background(), addr)
 	if conn == nil {
-		var err error
-		if conn, err = n.dial(context.Background(), addr); errors.Is(err, errBudget) {
-			return ended(foxlift.NotSent)
-		} else if err != nil {
-			return ended(foxlift.Unreachable)
-		}
+		return ended(code)
 	}
 	conn.SetDeadline(time.Now().Add(probeLimit))
 	r, reusable := n.ask(conn, node)
@@ -55,7 +49,7 @@
 	}
 	m := conn.buf.message(maxResponse)
 	defer m.end()
-	resp, err := http.ReadResponse(m.Reader, nil)
+	resp, err := m.response()
 	if err != nil {
 		return ended(foxlift.TimedOut), false
 	}
--- a/internal/platform/submitter.go
+++ b/internal/platform/submitter.go
@@ -15,9 +15,10 @@
 )
 
 const (
-	readLimit  = 10 * time.Second // for a request, from its first byte to its last
-	writeLimit = 10 * time.Second // for an answer
-	lingerTime = time.Second      // for the other side to read an answer before the end
+	readLimit  = 10 * time.Second       // for a request, from its first byte to its last
+	writeLimit = 10 * time.Second       // for an answer
+	lingerTime = time.Second            // for the other side to read an answer before the end
+	graceTime  = 100 * time.Millisecond // for a request that crosses the end of an idle connection
 )
 
 // The past as a read deadline wakes a connection's goroutine from Read.
@@ -70,8 +71,10 @@
 			return true
 		}
 		if s.retire.Load() {
-			// A request may have arrived that was not read: it must be answered.
-			return s.buf.fillNow() && s.buf.buffered() > 0
+			// A request may be on its way that was sent before the submitter could
+			// know of the end: it must not be lost unread.
+			s.conn.SetReadDeadline(time.Now().Add(graceTime))
+			return s.buf.fill() == nil || s.buf.fillNow() && s.buf.buffered() > 0
 		}
 		if err := s.buf.fill(); err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
 			return false
@@ -164,6 +167,7 @@
 		return nil, nil, bad(http.StatusRequestEntityTooLarge, "body", "a body holds %d bytes at most", maxBody)
 	}
 	if req.Header.Get("Expect") == "100-continue" {
+		s.conn.SetWriteDeadline(limit)
 		s.conn.Write([]byte("HTTP/1.1 100 Continue\r\n\r\n"))
 	}
 	m.limit = m.at + 2*maxBody // chunked framing takes room too
--- /dev/null
+++ b/internal/platform/toy_test.go
@@ -0,0 +1,215 @@
+package platform
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/vatu-meals/foxlift/internal/config"
+	"github.com/vatu-meals/foxlift/internal/core"
+	"github.com/vatu-meals/foxlift/internal/counters"
+)
+
+const patience = 20 * time.Second // for what must happen, on any machine
+
+const toySettings = `{"balancers":1,"discovery":"subscribe","dcs":["a"],"zone":"a","flavors":["k"],
+ "grades":[{"name":"reading","aim":500000000,"deadline":20000000000,"effect":"idempotent","gain":1},
+  {"name":"ratify","aim":2000000000,"deadline":20000000000,"effect":"at_most_once","gain":5}],
+ "projects":[{"name":"islands","quotaRps":1000}],
+ "bounds":{"cancel":true,"secondCopies":true,"retryAfter":true,"maxRetryAfter":2000000000,"maxAttempts":3,
+  "connIdle":30000000000,"connectTimeout":5000000000,"maxOpen":1000},
+ "familyInfo":{"tellsStart":true},"obligations":{"graceToAnswer":8000000,"mustAskIn":400000000}}`
+
+// A toyNode is an execute node whose answers a test writes.
+type toyNode struct {
+	net.Listener
+	got, conns atomic.Int64 // requests and connections
+}
+
+// newNode serves each request, read in full, with handle, which returns whether
+// the connection goes on.
+func newNode(t *testing.T, handle func(c net.Conn, r *http.Request, id string) bool) *toyNode {
+	n := &toyNode{Listener: listen(t)}
+	go func() {
+		for {
+			c, err := n.Accept()
+			if err != nil {
+				return
+			}
+			n.conns.Add(1)
+			go func() {
+				defer c.Close()
+				for br := bufio.NewReader(c); ; {
+					r, err := http.ReadRequest(br)
+					if err != nil {
+						return
+					}
+					body, _ := io.ReadAll(r.Body)
+					r.Body = io.NopCloser(strings.NewReader(string(body)))
+					n.got.Add(1)
+					if !handle(c, r, r.Header.Get(headerID)) {
+						return
+					}
+				}
+			}()
+		}
+	}()
+	return n
+}
+
+func listen(t *testing.T) net.Listener {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { l.Close() })
+	return l
+}
+
+// say writes the head of a node's 200 and one chunk for each state. A state may
+// hold more fields behind its name. Without end the body does not end.
+func say(c net.Conn, id string, end bool, states ...string) bool {
+	b := "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+	for _, s := range states {
+		line := fmt.Sprintf(`{"id":%q,"from":"n","state":%s}`+"\n", id, s)
+		b += fmt.Sprintf("%x\r\n%s\r\n", len(line), line)
+	}
+	if end {
+		b += "0\r\n\r\n"
+	}
+	_, err := io.WriteString(c, b)
+	return err == nil
+}
+
+func done(c net.Conn, _ *http.Request, id string) bool {
+	return say(c, id, true, `"started"`, `"running","share":0.5`, `"done","result":"for `+id+`"`)
+}
+
+func breakOff(net.Conn, *http.Request, string) bool { return false }
+
+func silent(c net.Conn, _ *http.Request, _ string) bool {
+	io.Copy(io.Discard, c) // until the other side closes
+	return false
+}
+
+// hosts writes a machine list of these nodes, all active.
+func hosts(seq int, whole bool, nodes ...*toyNode) string {
+	var b []string
+	for i, n := range nodes {
+		b = append(b, host(i, n, healthActive))
+	}
+	return fmt.Sprintf(`{"seq":%d,"whole":%t,"hosts":[%s]}`, seq, whole, strings.Join(b, ","))
+}
+
+func host(i int, n *toyNode, health string) string {
+	return fmt.Sprintf(`{"host":"n%d","dial":%q,"site":"a","class":"k","block":0,"health":%q,"born_ms":0}`, i, n.Addr(), health)
+}
+
+// start runs a scheduler whose list names these nodes. Without a discovery of
+// the test's, calls to it are refused.
+func start(t *testing.T, discovery string, nodes ...*toyNode) (*Platform, *counters.Set) {
+	s, err := config.ParseSettings([]byte(toySettings))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if discovery == "" {
+		l := listen(t)
+		discovery = l.Addr().String()
+		l.Close()
+	}
+	cfg := &config.Scheduler{Listen: "127.0.0.1:0", Discovery: discovery, Sockets: 256,
+		Known: []byte(hosts(1, true, nodes...)), Settings: s}
+	set, clock := &counters.Set{}, core.NewClock()
+	c, err := core.New(s, 1, clock, set)
+	if err != nil {
+		t.Fatal(err)
+	}
+	p, err := Start(cfg, c, clock, set)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { p.front.listener.Close(); c.Stop() })
+	await(t, "ready", c.Ready)
+	return p, set
+}
+
+// await waits until something is so.
+func await(t *testing.T, what string, is func() bool) {
+	t.Helper()
+	for end := time.Now().Add(patience); !is(); {
+		if time.Now().After(end) {
+			t.Fatalf("still not: %s", what)
+		}
+		time.Sleep(time.Millisecond)
+	}
+}
+
+// A toySubmitter is a submitter's connection.
+type toySubmitter struct {
+	net.Conn
+	br *bufio.Reader
+}
+
+func connect(t *testing.T, p *Platform) *toySubmitter {
+	t.Helper()
+	c, err := net.Dial("tcp", p.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { c.Close() })
+	c.SetDeadline(time.Now().Add(patience))
+	return &toySubmitter{c, bufio.NewReader(c)}
+}
+
+// jobText is a job's request; more holds further header lines or, as "-Name",
+// names one to leave out.
+func jobText(class, id, remaining, body string, more ...string) string {
+	b := fmt.Sprintf("POST /%s?user=7f3a9c21e0b4d655 HTTP/1.1\r\n", class)
+	for _, h := range []string{"Host: app.svc", headerID + ": " + id, headerClass + ": " + class,
+		headerTenant + ": islands", headerRemaining + ": " + remaining, headerLabels + ": slots=1,memory=0.5",
+		fmt.Sprintf("Content-Length: %d", len(body))} {
+		name, _, _ := strings.Cut(h, ":")
+		if len(more) == 0 || more[0] != "-"+name {
+			b += h + "\r\n"
+		}
+	}
+	for _, h := range more {
+		if h[0] != '-' {
+			b += h + "\r\n"
+		}
+	}
+	return b + "\r\n" + body
+}
+
+func (s *toySubmitter) send(t *testing.T, text string) {
+	t.Helper()
+	if _, err := io.WriteString(s, text); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// answer reads one whole answer.
+func (s *toySubmitter) answer(t *testing.T) (*http.Response, string) {
+	t.Helper()
+	r, err := http.ReadResponse(s.br, nil)
+	if err != nil {
+		t.Fatal("no answer: ", err)
+	}
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		t.Fatal("no whole answer: ", err)
+	}
+	return r, string(body)
+}
+
+func (s *toySubmitter) ask(t *testing.T, text string) (*http.Response, string) {
+	t.Helper()
+	s.send(t, text)
+	return s.answer(t)
+}
