--- /dev/null
+++ b/internal/config/config_test.go
@@ -0,0 +1,96 @@
+package config
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/vatu-meals/foxlift"
+)
+
+const good = `{"name":"n3","listen":"127.0.0.1:3000","discovery":"127.0.0.1:8500","seed":"8c1f30d27a5be964",
+"limits":{"cores":1.0,"memory_mb":2048,"sockets":512},"known":{"seq":41},"novel":true,
+"settings":{"balancers":2,"slotNo":1,"dcs":["a","b"],"zone":"b","flavors":["k"],"bounds":{"peerMessages":true,"connectTimeout":5},
+"grades":[{"name":"reading","aim":5,"deadline":9,"effect":"idempotent"},{"name":"ratify","aim":5,"deadline":9,"effect":"at_most_once"}],
+"projects":[{"name":"islands","quotaRps":2.0}],"familyInfo":{"classStretch":[2.5,2.0]}}}`
+
+func load(t *testing.T, text string, env map[string]string) (*Scheduler, error) {
+	path := filepath.Join(t.TempDir(), "config.json")
+	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	return Load(func(key string) string {
+		if key == "LB_CONFIG" {
+			return path
+		}
+		return env[key]
+	})
+}
+
+func TestLoad(t *testing.T) {
+	s, err := load(t, good, map[string]string{"LB_LISTEN": "127.0.0.2:0"})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if s.Name != "n3" || s.Listen != "127.0.0.2:0" || s.Discovery != "127.0.0.1:8500" || s.Seed != 0x8c1f30d27a5be964 {
+		t.Errorf("%+v", s)
+	}
+	if s.MemoryMB != maxMemoryMB || s.Sockets != 512 || string(s.Known) != `{"seq":41}` {
+		t.Errorf("limits or known: %+v", s)
+	}
+	c := s.Settings
+	if c.Module.Zone != 1 || c.Classes["ratify"] != 1 || c.Tenants["islands"] != 0 || c.ConnectTimeout != 5 ||
+		c.Module.Classes[0].Stretch != 2.5 || c.Module.Classes[1].Effect != foxlift.AtMostOnce {
+		t.Errorf("settings: %+v", c)
+	}
+	if c.Module.MayMessage {
+		t.Error("messages to peers, for which the protocol has no way")
+	}
+}
+
+// Whatever is wrong, the error is one line that names the key.
+func TestFaultsNameTheKey(t *testing.T) {
+	if _, err := Load(func(string) string { return "" }); err == nil || !strings.Contains(err.Error(), "LB_CONFIG") {
+		t.Errorf("without LB_CONFIG: %v", err)
+	}
+	for _, c := range []struct{ old, new, key string }{
+		{`{"name"`, `"name"`, "LB_CONFIG"},
+		{`"n3"`, `3`, "name"},
+		{`"127.0.0.1:3000"`, `""`, "listen"},
+		{`"127.0.0.1:3000"`, `"127.0.0.1"`, "listen"},
+		{`"127.0.0.1:3000"`, `"127.0.0.1:70000"`, "listen"},
+		{`"127.0.0.1:8500"`, `"127.0.0.1:0"`, "discovery"},
+		{`8c1f30d27a5be964`, `xyz`, "seed"},
+		{`2048`, `8`, "limits.memory_mb"},
+		{`512`, `-1`, "limits.sockets"},
+		{`512`, `"many"`, "limits.sockets"},
+		{`"settings"`, `"other"`, "settings"},
+		{`"slotNo":1`, `"slotNo":2`, "settings.slotNo"},
+		{`"aim":5`, `"aim":-5`, "settings.grades[0].aim"},
+		{`"aim":5`, `"aim":"5"`, "settings.grades"},
+		{`"deadline":9`, `"deadline":0`, "settings.grades[0].deadline"},
+		{`idempotent`, `sometimes`, "settings.grades[0]: unknown effect"},
+		{`"name":"ratify"`, `"name":"reading"`, "settings.grades[0].name"},
+		{`"quotaRps":2.0`, `"quotaRps":-2.0`, "settings.projects[0].quotaRps"},
+		{`"connectTimeout":5`, `"connectTimeout":-5`, "settings.bounds.connectTimeout"},
+		{`"familyInfo":{`, `"familyInfo":{"classKind":[4],`, "settings.familyInfo.classKind[0]"},
+	} {
+		if !strings.Contains(good, c.old) {
+			t.Fatalf("%s is not in the example", c.old)
+		}
+		_, err := load(t, strings.Replace(good, c.old, c.new, 1), nil)
+		if err == nil || !strings.Contains(err.Error(), c.key) || strings.Contains(err.Error(), "\n") {
+			t.Errorf("%s for %s: %v; want it to name %s", c.new, c.old, err, c.key)
+		}
+	}
+}
+
+func TestParseKey(t *testing.T) {
+	if k := ParseKey([]byte("91f03b7c55d20a64")); k != 0x91f03b7c55d20a64 {
+		t.Errorf("%x", k)
+	}
+	if ParseKey(nil) != 0 || ParseKey([]byte("user-1")) == ParseKey([]byte("user-2")) || ParseKey([]byte("user-1")) == 0 {
+		t.Error("keys that are not hex")
+	}
+}
