--- a/internal/platform/attempt.go
+++ b/internal/platform/attempt.go
@@ -32,17 +32,17 @@
 }
 
 func (a *attempt) carryOut() core.Report {
-	addr, ok := a.nodes.address(a.node)
+	to, ok := a.nodes.find(a.node)
 	if !ok {
 		return ended(foxlift.NotSent)
 	}
-	conn, code := a.nodes.take(a.ctx, addr)
+	conn, code := a.nodes.take(a.ctx, to)
 	if conn == nil {
 		return ended(code)
 	}
 	// The list may have changed since the module decided, above all during a
 	// dial: nothing new goes to a node that drains or is gone.
-	if now, ok := a.nodes.address(a.node); !ok || now != addr || a.ctx.Err() != nil {
+	if now, ok := a.nodes.find(a.node); !ok || now != to || a.ctx.Err() != nil {
 		a.nodes.keep(conn)
 		return ended(foxlift.NotSent)
 	}
--- a/internal/platform/buffer.go
+++ b/internal/platform/buffer.go
@@ -81,6 +81,24 @@
 	return alive && err == nil
 }
 
+// arrived reports whether a connection has something to read, or has ended.
+func arrived(conn net.Conn) bool {
+	sc, ok := conn.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return false
+	}
+	there := false
+	raw.Control(func(fd uintptr) {
+		_, _, err := syscall.Recvfrom(int(fd), make([]byte, 1), syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		there = err == nil
+	})
+	return there
+}
+
 // A message is the reading of one message from a buffer. Its bytes stay in the
 // buffer until end, so that nothing behind it is lost to the parser's read-ahead.
 type message struct {
--- a/internal/platform/machines.go
+++ b/internal/platform/machines.go
@@ -20,6 +20,7 @@
 	watchSlack  = 1500 * time.Millisecond // a watch's answer may come this much after its wait
 	dialLimit   = time.Second             // for a connection to discovery
 	watchBroken = 200 * time.Millisecond  // a later call starts a new watch
+	catchUp     = 100 * time.Millisecond  // most that a claim waits for the watch to read
 )
 
 // machines is the machine list and the watch on it. Claims ask it just before
@@ -33,12 +34,14 @@
 	entries  map[string]machine
 	version  int64
 	watching bool
+	conn     net.Conn // the watch's, while an answer is awaited
 }
 
 // A machine is an execute node's entry in the list.
 type machine struct {
 	dial  string
 	state foxlift.WorkerState
+	born  time.Time // its process's last start
 }
 
 func newMachines(addr string, s *config.Settings, tell func(foxlift.ListKind, []foxlift.Worker)) *machines {
@@ -107,11 +110,11 @@
 	if l.Whole {
 		clear(m.entries)
 	}
-	m.version = *l.Version
+	m.version, m.conn = *l.Version, nil
 	var workers []foxlift.Worker
 	for _, h := range l.Hosts {
 		state := healths[h.Health]
-		m.entries[h.Host] = machine{h.Dial, state}
+		m.entries[h.Host] = machine{h.Dial, state, time.UnixMilli(h.Born)}
 		workers = append(workers, foxlift.Worker{
 			ID: h.Host, Zone: config.Find(m.settings.Zones, h.Zone), Kind: config.Find(m.settings.Kinds, h.Kind),
 			Cell: h.Cell, State: state, Started: h.Born * int64(time.Millisecond),
@@ -120,12 +123,20 @@
 	return workers
 }
 
-// address returns where a node listens, if new work may go there now.
-func (m *machines) address(node string) (string, bool) {
+// find returns a node's entry, if new work may go there now. A change counts as
+// told once discovery has written it: where an answer has arrived that the watch
+// has not yet read (the process stood still, or the core was busy), find waits for
+// it. It must not be called on the core's goroutine.
+func (m *machines) find(node string) (machine, bool) {
 	m.mu.Lock()
+	for end := time.Now().Add(catchUp); m.conn != nil && arrived(m.conn) && time.Now().Before(end); {
+		m.mu.Unlock()
+		<-time.After(time.Millisecond)
+		m.mu.Lock()
+	}
 	defer m.mu.Unlock()
 	e, ok := m.entries[node]
-	return e.dial, ok && e.state == foxlift.Live
+	return e, ok && e.state == foxlift.Live
 }
 
 // Watch implements core.MachineList.
@@ -171,18 +182,21 @@
 		if err != nil {
 			return err
 		}
+		m.await(c.conn)
 		body, err := c.receive()
 		if err != nil {
+			m.await(nil)
 			return err
 		}
 		answered := time.Now()
 		l, err := parseListing(body)
+		if err == nil && whole && !l.Whole {
+			err = errors.New("the answer is not the whole list")
+		}
 		if err != nil {
+			m.await(nil)
 			return err
 		}
-		if whole && !l.Whole {
-			return errors.New("the answer is not the whole list")
-		}
 		if !l.Whole && *l.Version < m.version {
 			whole, told = true, false // discovery has lost count
 			continue
@@ -197,6 +211,13 @@
 	}
 }
 
+// await notes the connection on which an answer is awaited; nil for none.
+func (m *machines) await(conn net.Conn) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.conn = conn
+}
+
 // A caller makes calls to discovery, on one connection while it lasts.
 type caller struct {
 	addr string
--- a/internal/platform/nodes.go
+++ b/internal/platform/nodes.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -23,7 +24,7 @@
 
 // nodes holds the connections to execute nodes. It implements core.Nodes.
 type nodes struct {
-	address   func(node string) (string, bool) // where a node listens, if new work may go there now
+	find      func(node string) (machine, bool) // a node's entry, if new work may go there now
 	counters  *counters.Set
 	connect   time.Duration // most that a dial may take
 	idleLimit time.Duration // after which an idle connection is dropped
@@ -43,11 +44,12 @@
 	buf   buffer
 	drop  *time.Timer // while idle
 	since time.Time   // when it became idle
+	began time.Time   // when it was opened
 }
 
 func newNodes(list *machines, s *config.Settings, set *counters.Set, budget int) *nodes {
 	n := &nodes{
-		address: list.address, counters: set, connect: defaultConnect, idleLimit: defaultIdle, budget: budget,
+		find: list.find, counters: set, connect: defaultConnect, idleLimit: defaultIdle, budget: budget,
 		withLoad: len(s.GaugeNames) > 0, loadNames: s.GaugeNames, idle: map[string][]*nodeConn{},
 	}
 	if s.ConnectTimeout > 0 {
@@ -61,11 +63,11 @@
 	return n
 }
 
-// reuse takes the newest idle connection to an address that is still good.
-func (n *nodes) reuse(addr string) *nodeConn {
+// reuse takes the newest idle connection to a node that is still good.
+func (n *nodes) reuse(to machine) *nodeConn {
 	for {
 		n.mu.Lock()
-		stack := n.idle[addr]
+		stack := n.idle[to.dial]
 		if len(stack) == 0 {
 			n.mu.Unlock()
 			return nil
@@ -73,9 +75,10 @@
 		c := stack[len(stack)-1]
 		n.takeLocked(c)
 		n.mu.Unlock()
-		// A node that has restarted or dropped the connection has said so already;
-		// writing to it would look like a job that may have run.
-		if c.buf.fillNow() && c.buf.buffered() == 0 {
+		// A node that has dropped the connection has mostly said so already, and one
+		// that vanished and is back has a new start; writing to the old connection
+		// would look like a job that may have run.
+		if c.buf.fillNow() && c.buf.buffered() == 0 && !c.began.Before(to.born) {
 			return c
 		}
 		n.discard(c)
@@ -147,13 +150,13 @@
 	return nil
 }
 
-// take returns a connection to an address, an idle one if there is any. Without
+// take returns a connection to a node, an idle one if there is any. Without
 // one, code says why: a lack of descriptors is no fault of the node.
-func (n *nodes) take(ctx context.Context, addr string) (c *nodeConn, code foxlift.Code) {
-	if c = n.reuse(addr); c != nil {
+func (n *nodes) take(ctx context.Context, to machine) (c *nodeConn, code foxlift.Code) {
+	if c = n.reuse(to); c != nil {
 		return c, 0
 	}
-	c, err := n.dial(ctx, addr)
+	c, err := n.dial(ctx, to.dial)
 	switch {
 	case err == nil:
 		return c, 0
@@ -179,18 +182,20 @@
 		return nil, err
 	}
 	n.counters.Add("nodes.dialed")
-	return &nodeConn{Conn: conn, addr: addr, buf: buffer{conn: conn}}, nil
+	return &nodeConn{Conn: conn, addr: addr, buf: buffer{conn: conn}, began: time.Now()}, nil
 }
 
 // CloseIdle implements core.Nodes.
 func (n *nodes) CloseIdle(node string) {
-	addr, _ := n.address(node)
-	n.mu.Lock()
-	stack := append([]*nodeConn(nil), n.idle[addr]...)
-	n.mu.Unlock()
-	for _, c := range stack {
-		n.dropIdle(c)
-	}
+	go func() {
+		to, _ := n.find(node)
+		n.mu.Lock()
+		stack := slices.Clone(n.idle[to.dial])
+		n.mu.Unlock()
+		for _, c := range stack {
+			n.dropIdle(c)
+		}
+	}()
 }
 
 // Send implements core.Nodes.
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -15,12 +15,14 @@
 // runtime.
 const (
 	nodeShare  = 0.4
-	spareFiles = 48
+	spareShare = 1.0 / 16
+	spareLeast = 16
 )
 
 // moments is how long a scheduler that is told to end goes on taking what comes
-// in, until the front has noticed: 0.2 to 0.4 s, and a little.
-const moments = 550 * time.Millisecond
+// in: new connections come for up to 0.4 s. Idle connections are to be closed
+// before 0.7 s are over, their grace included.
+const moments = 450 * time.Millisecond
 
 // A Platform is a scheduler's side of the platform's protocol.
 type Platform struct {
@@ -44,7 +46,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("listen (LB_LISTEN): %w", err)
 	}
-	files := cfg.Sockets - spareFiles
+	files := cfg.Sockets - max(spareLeast, int(float64(cfg.Sockets)*spareShare))
 	forNodes := int(float64(files) * nodeShare)
 	c.Connect(newNodes(list, cfg.Settings, set, forNodes), list)
 	p := &Platform{front: newFront(c, clock, set, listener, files-forNodes), machines: list, core: c}
--- a/internal/platform/probe.go
+++ b/internal/platform/probe.go
@@ -21,11 +21,11 @@
 }
 
 func (n *nodes) probe(node string) core.Report {
-	addr, ok := n.address(node)
+	to, ok := n.find(node)
 	if !ok {
 		return ended(foxlift.NotSent)
 	}
-	conn, code := n.take(context.Background(), addr)
+	conn, code := n.take(context.Background(), to)
 	if conn == nil {
 		return ended(code)
 	}
--- a/internal/platform/rules_test.go
+++ b/internal/platform/rules_test.go
@@ -200,7 +200,7 @@
 func TestIdleConnections(t *testing.T) {
 	node := newNode(t, done)
 	n := &nodes{counters: &counters.Set{}, connect: patience, idleLimit: time.Hour, budget: 2, idle: map[string][]*nodeConn{}}
-	addr := node.Addr().String()
+	addr, to := node.Addr().String(), machine{dial: node.Addr().String()}
 	dial := func() *nodeConn {
 		c, err := n.dial(t.Context(), addr)
 		if err != nil {
@@ -212,20 +212,25 @@
 	if _, err := n.dial(t.Context(), addr); !errors.Is(err, errBudget) {
 		t.Errorf("a third connection: %v", err)
 	}
-	if c, code := n.take(t.Context(), addr); c != nil || code != foxlift.NotSent {
+	if c, code := n.take(t.Context(), to); c != nil || code != foxlift.NotSent {
 		t.Errorf("without a descriptor: code %d", code)
 	}
 	n.keep(a)
 	n.keep(b)
-	check(t, "newest first", n.reuse(addr), b)
+	check(t, "newest first", n.reuse(to), b)
 	c := dial() // a makes way
 	check(t, "idle", len(n.idle), 0)
 	n.keep(b)
 	n.idleLimit = time.Millisecond
 	n.keep(c)
 	await(t, "dropped", func() bool { n.mu.Lock(); defer n.mu.Unlock(); return n.open == 1 })
-	check(t, "kept", n.reuse(addr), b)
-	n.discard(b)
+	check(t, "kept", n.reuse(to), b)
+	n.idleLimit = time.Hour
+	n.keep(b)
+	to.born = time.Now() // the node has restarted since: the connection led to its former process
+	if c := n.reuse(to); c != nil {
+		t.Error("a connection to a former process was reused")
+	}
 	check(t, "open", n.open, 0)
 }
 
@@ -234,11 +239,11 @@
 	dead := newNode(t, nil)
 	dead.Close()
 	n := &nodes{counters: &counters.Set{}, connect: patience, budget: 1, idle: map[string][]*nodeConn{}}
-	if c, code := n.take(t.Context(), dead.Addr().String()); c != nil || code != foxlift.Unreachable {
+	if c, code := n.take(t.Context(), machine{dial: dead.Addr().String()}); c != nil || code != foxlift.Unreachable {
 		t.Errorf("refused: code %d", code)
 	}
 	n.connect = time.Nanosecond
-	if c, code := n.take(t.Context(), listen(t).Addr().String()); c != nil || code != foxlift.Unreachable {
+	if c, code := n.take(t.Context(), machine{dial: listen(t).Addr().String()}); c != nil || code != foxlift.Unreachable {
 		t.Errorf("too late: code %d", code)
 	}
 	check(t, "open", n.open, 0)
@@ -249,11 +254,11 @@
 func TestDrainSeenBeforeTheFirstByte(t *testing.T) {
 	node := newNode(t, done)
 	looks := 0
-	address := func(string) (string, bool) {
+	find := func(string) (machine, bool) {
 		looks++
-		return node.Addr().String(), looks == 1 // the list changes after the first look
+		return machine{dial: node.Addr().String()}, looks == 1 // the list changes after the first look
 	}
-	n := &nodes{address: address, counters: &counters.Set{}, connect: patience, idleLimit: time.Hour, budget: 9, idle: map[string][]*nodeConn{}}
+	n := &nodes{find: find, counters: &counters.Set{}, connect: patience, idleLimit: time.Hour, budget: 9, idle: map[string][]*nodeConn{}}
 	job := &core.Job{ID: "j", Payload: &payload{method: "POST", target: "/reading"}}
 	reports := make(chan core.Report, 9)
 	for range 2 { // then before it
@@ -496,6 +501,39 @@
 	check(t, "health without machines", r.StatusCode, 503)
 }
 
+// What discovery has written counts as told, read or not: a claim waits for the
+// watch to read it, and no longer than that.
+func TestUnreadListHoldsClaims(t *testing.T) {
+	l := listen(t)
+	conn, err := net.Dial("tcp", l.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	m := &machines{entries: map[string]machine{"n": {}}, conn: conn}
+	if _, ok := m.find("n"); !ok {
+		t.Error("nothing unread, and yet the node is not to be had")
+	}
+	other, err := l.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer other.Close()
+	io.WriteString(other, "HTTP/1.1 200 OK")
+	await(t, "arrived", func() bool { return arrived(conn) })
+	began := time.Now()
+	found := make(chan bool)
+	go func() { _, ok := m.find("n"); found <- ok }()
+	m.mu.Lock() // the watch reads the answer
+	m.entries["n"], m.conn = machine{state: foxlift.Draining}, nil
+	m.mu.Unlock()
+	check(t, "found", <-found, false)
+	m.entries["n"], m.conn = machine{}, conn // the watch does not come to read
+	if _, ok := m.find("n"); !ok || time.Since(began) > patience {
+		t.Error("waited for ever")
+	}
+}
+
 // One buffer serves any length of message, and what is behind a message stays.
 func TestBuffer(t *testing.T) {
 	b := &buffer{conn: scripted{text: strings.NewReader(strings.Repeat("a", 5000) + "\n" + "b\nc")}}
