--- /dev/null
+++ b/cmd/foxlift/main_test.go
@@ -0,0 +1,103 @@
+package main
+
+import (
+	"bufio"
+	"bytes"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+)
+
+// The test binary runs as foxlift itself where this variable is set.
+const asFoxlift = "FOXLIFT_TEST_MAIN"
+
+func TestMain(m *testing.M) {
+	if os.Getenv(asFoxlift) != "" {
+		main()
+		return
+	}
+	os.Exit(m.Run())
+}
+
+// foxlift returns the program, not yet started, with a configuration of the
+// example's, changed.
+func foxlift(t *testing.T, old, with string) *exec.Cmd {
+	text, err := os.ReadFile("../../examples/config.json")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if !strings.Contains(string(text), old) {
+		t.Fatalf("%s is not in the example", old)
+	}
+	path := filepath.Join(t.TempDir(), "config.json")
+	if err := os.WriteFile(path, []byte(strings.Replace(string(text), old, with, 1)), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	cmd := exec.Command(os.Args[0])
+	cmd.Env = append(os.Environ(), asFoxlift+"=1", "LB_CONFIG="+path, "LB_LISTEN=127.0.0.1:0")
+	return cmd
+}
+
+// A bad configuration is one line that names the key, and exit code 1.
+func TestBadConfiguration(t *testing.T) {
+	for key, c := range map[string][2]string{
+		"settings.grades[0].deadline": {`"deadline": 5000000000`, `"deadline": 0`},
+		"known":                       {`"known": null`, `"known": {"seq": "x"}`},
+		"discovery (LB_DISCOVERY)":    {`127.0.0.1:8500`, `nowhere`},
+	} {
+		out, err := foxlift(t, c[0], c[1]).CombinedOutput()
+		if exit, ok := err.(*exec.ExitError); !ok || exit.ExitCode() != 1 {
+			t.Errorf("%s: %v, want exit code 1", key, err)
+		}
+		if !bytes.HasPrefix(out, []byte("foxlift: "+key+": ")) || bytes.Count(out, []byte("\n")) != 1 {
+			t.Errorf("%s: %q", key, out)
+		}
+	}
+}
+
+// The program starts with the example's configuration, serves its health, prints
+// its counters when asked and at its end, and ends with exit code 0.
+func TestStartAndEnd(t *testing.T) {
+	cmd := foxlift(t, `"known": null`, `"known": {"seq":1,"hosts":[{"host":"h","dial":"127.0.0.1:1","health":"active"}]}`)
+	stderr, err := cmd.StderrPipe()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := cmd.Start(); err != nil {
+		t.Fatal(err)
+	}
+	defer cmd.Process.Kill()
+	lines := bufio.NewScanner(stderr)
+	until := func(what string) string {
+		for lines.Scan() {
+			if strings.Contains(lines.Text(), what) {
+				return lines.Text()
+			}
+		}
+		t.Fatalf("it never says %q", what)
+		return ""
+	}
+	addr := until(" listens on ")
+	addr = addr[strings.LastIndex(addr, " ")+1:]
+	resp, err := http.Get("http://" + addr + "/_health")
+	if err != nil {
+		t.Fatal(err)
+	}
+	resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		t.Errorf("health %d", resp.StatusCode)
+	}
+	for _, s := range []os.Signal{syscall.SIGUSR1, syscall.SIGTERM} {
+		cmd.Process.Signal(s)
+		until("accept.connections 1")
+	}
+	for lines.Scan() {
+	}
+	if err := cmd.Wait(); err != nil {
+		t.Errorf("it ends with %v", err)
+	}
+}
--- a/internal/platform/rules_test.go
+++ b/internal/platform/rules_test.go
@@ -126,10 +126,12 @@
 		_, err := io.WriteString(c, "HTTP/1.1 503 Full\r\nX-Turned-Away: 1\r\nContent-Length: 0\r\n\r\n")
 		return err == nil
 	}
-	giveBack := func(c net.Conn, _ *http.Request, id string) bool { return say(c, id, true, `"returned"`) }
-	lose := func(c net.Conn, _ *http.Request, id string) bool { return say(c, id, true, `"started"`, `"lost"`) }
+	giveBack := func(c net.Conn, _ *http.Request, id string) bool { return sayStates(c, id, true, `"returned"`) }
+	lose := func(c net.Conn, _ *http.Request, id string) bool {
+		return sayStates(c, id, true, `"started"`, `"lost"`)
+	}
 	cutShort := func(c net.Conn, _ *http.Request, id string) bool {
-		say(c, id, false, `"started"`, `"done","result":"x"`)
+		sayStates(c, id, false, `"started"`, `"done","result":"x"`)
 		return false
 	}
 	for name, c := range map[string]struct {
@@ -309,7 +311,7 @@
 
 // A refusal says when to come back.
 func TestRefusalHasRetryAfter(t *testing.T) {
-	for d, want := range map[time.Duration]string{0: "", 1500 * time.Millisecond: "1.500", 50 * time.Millisecond: "0.050"} {
+	for d, want := range map[time.Duration]string{1500 * time.Millisecond: "1.500", 50 * time.Millisecond: "0.050"} {
 		check(t, "Retry-After", retryAfter(d), want)
 	}
 }
--- a/internal/platform/submitter.go
+++ b/internal/platform/submitter.go
@@ -87,47 +87,67 @@
 func (s *submitter) exchange() bool {
 	req, body, input := s.readRequest()
 	if input != nil {
-		s.front.counters.Add(input.counter)
-		s.write(input.status, nil, "", input.text, true)
+		// What follows on the connection cannot be told from the bad request.
+		s.write(s.refuseInput(input), true)
 		s.linger()
 		return false
 	}
 	if req == nil {
 		return false // it ended within a request: nothing was taken
 	}
-	ends := req.Close
 	switch {
 	case req.URL.Path == pathHealth:
-		status := http.StatusOK
-		if !s.front.ready() {
-			status = http.StatusServiceUnavailable
-		}
-		if req.Method != http.MethodGet && req.Method != http.MethodHead {
-			status = http.StatusMethodNotAllowed
-		}
-		return s.write(status, nil, "", http.StatusText(status), ends)
+		return s.write(s.health(req.Method), req.Close)
 	case req.Method != http.MethodPost:
-		s.front.counters.Add("bad.method")
-		return s.write(http.StatusMethodNotAllowed, nil, "", "jobs come by POST", ends)
+		input = bad(http.StatusMethodNotAllowed, "method", "jobs come by POST")
+		return s.write(s.refuseInput(input), req.Close)
 	}
 	job, input := parseJob(req, body)
 	if input != nil {
-		s.front.counters.Add(input.counter)
-		return s.write(input.status, nil, "", input.text, ends)
+		return s.write(s.refuseInput(input), req.Close)
 	}
 	answer, left := s.run(job)
-	switch answer.Verdict {
+	return s.write(s.word(answer), req.Close || left)
+}
+
+// A reply is an answer as it goes out.
+type reply struct {
+	status     int
+	retryAfter time.Duration
+	body       []byte
+}
+
+func say(status int, text string) reply { return reply{status: status, body: []byte(text + "\n")} }
+
+func (s *submitter) refuseInput(input *badInput) reply {
+	s.front.counters.Add(input.counter)
+	return say(input.status, input.text)
+}
+
+func (s *submitter) health(method string) reply {
+	switch {
+	case method != http.MethodGet:
+		return say(http.StatusMethodNotAllowed, "ask by GET")
+	case !s.front.ready():
+		return say(http.StatusServiceUnavailable, "no jobs are taken")
+	}
+	return say(http.StatusOK, "ready")
+}
+
+// word puts a job's answer into the protocol's terms. A 503 promises that a retry
+// is harmless: only a refusal may have it.
+func (s *submitter) word(a core.Answer) reply {
+	switch a.Verdict {
 	case core.Served:
-		ends = !s.write(http.StatusOK, answer.Result, "", "", ends)
+		return reply{status: http.StatusOK, body: a.Result}
 	case core.Refused:
-		ends = !s.write(http.StatusServiceUnavailable, nil, retryAfter(answer.RetryAfter), "refused", ends)
+		r := say(http.StatusServiceUnavailable, "refused")
+		r.retryAfter = a.RetryAfter
+		return r
 	case core.Rejected:
-		s.front.counters.Add("bad.job")
-		ends = !s.write(http.StatusBadRequest, nil, "", answer.Reason, ends)
-	default:
-		ends = !s.write(http.StatusBadGateway, nil, "", answer.Reason, ends)
+		return s.refuseInput(bad(http.StatusBadRequest, "job", "%s", a.Reason))
 	}
-	return !ends && !left
+	return say(http.StatusBadGateway, a.Reason)
 }
 
 // run hands a job to the core and waits for its answer.
@@ -195,21 +215,18 @@
 	return bad(http.StatusBadRequest, counter, "malformed request: %v", err)
 }
 
-// write writes an answer and returns whether the connection may go on.
-func (s *submitter) write(status int, result []byte, retryAfter, text string, ends bool) bool {
+// write writes a reply and returns whether the connection may go on.
+func (s *submitter) write(r reply, ends bool) bool {
 	ends = ends || s.retire.Load() || s.front.ending.Load()
-	if result == nil && text != "" {
-		result = []byte(text + "\n")
-	}
-	b := make([]byte, 0, 160+len(result))
-	b = fmt.Appendf(b, "HTTP/1.1 %d %s\r\nContent-Length: %d\r\n", status, http.StatusText(status), len(result))
-	if retryAfter != "" {
-		b = fmt.Appendf(b, "%s: %s\r\n", headerRetryAfter, retryAfter)
+	b := fmt.Appendf(make([]byte, 0, 160+len(r.body)), "HTTP/1.1 %d %s\r\nContent-Length: %d\r\n",
+		r.status, http.StatusText(r.status), len(r.body))
+	if r.retryAfter > 0 {
+		b = fmt.Appendf(b, "%s: %s\r\n", headerRetryAfter, retryAfter(r.retryAfter))
 	}
 	if ends {
 		b = append(b, "Connection: close\r\n"...)
 	}
-	b = append(append(b, "\r\n"...), result...)
+	b = append(append(b, "\r\n"...), r.body...)
 	s.conn.SetWriteDeadline(time.Now().Add(writeLimit))
 	_, err := s.conn.Write(b)
 	return err == nil && !ends
@@ -224,10 +241,5 @@
 	}
 }
 
-// retryAfter writes seconds as a decimal; nothing for none.
-func retryAfter(d time.Duration) string {
-	if d <= 0 {
-		return ""
-	}
-	return strconv.FormatFloat(d.Seconds(), 'f', 3, 64)
-}
+// retryAfter writes seconds as a decimal.
+func retryAfter(d time.Duration) string { return strconv.FormatFloat(d.Seconds(), 'f', 3, 64) }
--- a/internal/platform/toy_test.go
+++ b/internal/platform/toy_test.go
@@ -72,9 +72,9 @@
 	return l
 }
 
-// say writes the head of a node's 200 and one chunk for each state. A state may
+// sayStates writes the head of a node's 200 and one chunk for each state. A state may
 // hold more fields behind its name. Without end the body does not end.
-func say(c net.Conn, id string, end bool, states ...string) bool {
+func sayStates(c net.Conn, id string, end bool, states ...string) bool {
 	b := "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
 	for _, s := range states {
 		line := fmt.Sprintf(`{"id":%q,"from":"n","state":%s}`+"\n", id, s)
@@ -88,7 +88,7 @@
 }
 
 func done(c net.Conn, _ *http.Request, id string) bool {
-	return say(c, id, true, `"started"`, `"running","share":0.5`, `"done","result":"for `+id+`"`)
+	return sayStates(c, id, true, `"started"`, `"running","share":0.5`, `"done","result":"for `+id+`"`)
 }
 
 func breakOff(net.Conn, *http.Request, string) bool { return false }
