Refuse at once what the submitters' descriptors cannot hold

Every connection of the submitters' budget (68) held a waiting job, so the rest waited in the kernel's backlog, which counts as taken, until their submitters gave up. At fault: front.awaitRoom, which stops accepting at the budget, and admit, whose limit was the settings' maxOpen of 20,000.

Now jobs past seven eighths of the submitters' descriptors are refused at once with Retry-After, so that connections are always left to read on, and descriptors are halved between submitters and nodes, so that every open job can be in flight. Ids answered stay taken for the longest deadline; room is made before the budget is full; large buffers are given back; answers of nodes are bounded by the protocol's size.

--- a/internal/core/admit.go
+++ b/internal/core/admit.go
@@ -9,9 +9,11 @@
 const fullRetry = time.Second // advice to submitters when the table is full
 
 // Stage 2, admit: the module hears of the job and holds, sends or refuses it.
-// Past the settings' number of open jobs it is refused before the module.
+// Past the number that may be open it is refused before the module: a job that
+// waits unread because no descriptor is left for its connection is lost.
 func (c *Core) admit(j *job, class, tenant int) {
-	if most := c.settings.MaxOpen; most > 0 && len(c.open) > most {
+	if len(c.open) > c.most {
+		c.counters.Add("jobs.too_many")
 		c.answer(j, Answer{Verdict: Refused, RetryAfter: fullRetry})
 		return
 	}
--- a/internal/core/book.go
+++ b/internal/core/book.go
@@ -23,6 +23,8 @@
 	j.answered = true
 	j.overdue.Stop()
 	delete(c.open, j.ID)
+	c.recent[j.ID] = true
+	c.after(c.longest, idForgotten{j.ID})
 	c.counters.Add(verdictCounters[a.Verdict])
 	j.Submitter.Answer(a)
 	c.forget(j)
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -67,6 +67,9 @@
 	// Owned by run's goroutine.
 	jobs     map[uint64]*job
 	open     map[string]*job // taken and not yet answered, by the submitter's id
+	recent   map[string]bool // ids answered not long ago
+	longest  int64           // the longest deadline of any class
+	most     int             // jobs that may be open
 	numbered uint64
 	news     []foxlift.Event // for the module's next step
 	states   map[string]foxlift.WorkerState
@@ -78,15 +81,26 @@
 	if err != nil {
 		return nil, err
 	}
-	return &Core{
+	c := &Core{
 		settings: s, clock: clock, counters: set, module: module,
 		inbox: make(chan event, 1024), stopped: make(chan struct{}),
-		jobs: map[uint64]*job{}, open: map[string]*job{}, states: map[string]foxlift.WorkerState{},
-	}, nil
+		jobs: map[uint64]*job{}, open: map[string]*job{}, recent: map[string]bool{},
+		states: map[string]foxlift.WorkerState{},
+	}
+	for _, k := range s.Module.Classes {
+		c.longest = max(c.longest, k.Deadline)
+	}
+	return c, nil
 }
 
-// Connect sets what the core acts through.
-func (c *Core) Connect(n Nodes, m MachineList) { c.nodes, c.machines = n, m }
+// Connect sets what the core acts through, and how many jobs a front can hold
+// open; more are refused at once.
+func (c *Core) Connect(n Nodes, m MachineList, most int) {
+	c.nodes, c.machines, c.most = n, m, most
+	if s := c.settings.MaxOpen; s > 0 {
+		c.most = min(most, s)
+	}
+}
 
 // Start begins with the machine list as last known and starts the core's
 // goroutine, which ends after Stop.
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -47,7 +47,7 @@
 	}
 	t.Cleanup(c.Stop)
 	r := &rig{Core: c}
-	c.Connect(r, r)
+	c.Connect(r, r, 9)
 	r.do(machinesTold{foxlift.ListFull, []foxlift.Worker{{ID: "n1", Kind: -1}, {ID: "n2", Kind: -1}, {ID: "n3", Kind: -1}}})
 	return r
 }
@@ -144,7 +144,11 @@
 	}
 	r.sent[0](Report{Ended: true, Code: foxlift.Served})
 	r.settle()
-	if a := r.take("j", "ratify", "t"); len(a.got) != 0 {
+	if a := r.take("j", "ratify", "t"); len(a.got) != 1 || a.got[0].Reason != "repeated id" || len(r.sent) != 2 {
+		t.Errorf("an id that was answered: %+v, %d claims", a.got, len(r.sent))
+	}
+	r.do(idForgotten{"j"})
+	if a := r.take("j", "ratify", "t"); len(a.got) != 0 || len(r.sent) != 3 {
 		t.Errorf("an id that is free again: %+v", a.got)
 	}
 }
--- a/internal/core/takein.go
+++ b/internal/core/takein.go
@@ -43,7 +43,7 @@
 			return 0, 0, "unknown tenant"
 		}
 	}
-	if c.open[j.ID] != nil {
+	if c.open[j.ID] != nil || c.recent[j.ID] {
 		return 0, 0, "repeated id"
 	}
 	return class, tenant, ""
@@ -68,5 +68,12 @@
 	}
 }
 
+// An idForgotten ends the time in which an answered job's id may not come again. A
+// submitter that sends a job once more, instead of a new try with a new id, would
+// have it run twice.
+type idForgotten struct{ id string }
+
+func (e idForgotten) apply(c *Core) { delete(c.recent, e.id) }
+
 // remaining is how long the job's submitter still waits.
 func (j *job) remaining(now int64) time.Duration { return time.Duration(j.deadline - now) }
--- a/internal/platform/buffer.go
+++ b/internal/platform/buffer.go
@@ -20,7 +20,10 @@
 	r, w int // data[r:w] is read from the connection and not yet consumed
 }
 
-const firstSize = 2 << 10
+const (
+	firstSize = 2 << 10
+	keptSize  = 16 << 10 // a larger buffer is given back once it is empty
+)
 
 func (b *buffer) buffered() int { return b.w - b.r }
 
@@ -129,6 +132,9 @@
 // end drops what the parser has used of the buffer.
 func (m *message) end() {
 	m.b.r += m.at - m.Buffered()
+	if m.b.buffered() == 0 && len(m.b.data) > keptSize {
+		m.b.data, m.b.r, m.b.w = nil, 0, 0
+	}
 	m.Reset(nil)
 	parsers.Put(m.Reader)
 }
--- a/internal/platform/front.go
+++ b/internal/platform/front.go
@@ -38,14 +38,24 @@
 }
 
 func newFront(c *core.Core, clock core.Clock, set *counters.Set, l listener, budget int) *front {
-	f := &front{core: c, clock: clock, counters: set, listener: l, budget: budget, grace: graceTime, accepted: make(chan struct{}), all: map[*submitter]struct{}{}}
+	f := &front{
+		core: c, clock: clock, counters: set, listener: l, budget: budget, grace: graceTime,
+		accepted: make(chan struct{}), all: map[*submitter]struct{}{},
+	}
 	f.freed = sync.NewCond(&f.mu)
 	return f
 }
 
+// mostJobs is how many jobs may be open. Each holds a connection, and some must be
+// left for others to be read and refused on: what the kernel has accepted and
+// nobody reads is lost.
+func (f *front) mostJobs() int { return f.budget - max(1, f.budget/jobsSpare) }
+
 func (f *front) ready() bool { return f.core.Ready() && !f.ending.Load() }
 
 const (
+	headroom      = 16 // the part of the budget in which idle connections make way
+	jobsSpare     = 8  // the part of it that no waiting job holds
 	graceTime     = 100 * time.Millisecond
 	acceptPause   = 5 * time.Millisecond // after a failed accept, doubled each time
 	acceptPauseUp = 500 * time.Millisecond
@@ -70,7 +80,7 @@
 			// Out of descriptors, most likely: an idle connection makes room, and
 			// accepting goes on after a while, always.
 			f.counters.Add("accept.failed")
-			f.retireOldest()
+			f.makeRoom(1)
 			<-time.After(pause)
 			pause = min(2*pause, acceptPauseUp)
 		}
@@ -92,14 +102,17 @@
 	}()
 }
 
-// awaitRoom waits until the budget allows another connection; the longest idle
-// one makes way. At the end it does not wait, and what the kernel has accepted by
+// awaitRoom waits until the budget allows another connection. Shortly before, the
+// longest idle ones begin to make way. At the end it does not wait, and what the kernel has accepted by
 // then is all that is left to accept: last is true.
 func (f *front) awaitRoom() (last bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	for len(f.all) >= f.budget && !f.closing.Load() {
-		f.retireOldestLocked()
+	for !f.closing.Load() {
+		f.makeRoomLocked(len(f.all) + 1 + f.budget/headroom - f.budget)
+		if len(f.all) < f.budget {
+			break
+		}
 		f.freed.Wait()
 	}
 	if last = f.closing.Load(); last {
@@ -108,26 +121,24 @@
 	return last
 }
 
-func (f *front) retireOldest() {
+func (f *front) makeRoom(n int) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.retireOldestLocked()
+	f.makeRoomLocked(n)
 }
 
-func (f *front) retireOldestLocked() {
-	for _, s := range f.idle {
-		if !s.retire.Load() {
-			f.retireLocked(s)
-			return
-		}
+// makeRoomLocked ends the n longest idle connections. Those that are about to end
+// already count.
+func (f *front) makeRoomLocked(n int) {
+	for _, s := range f.idle[:min(max(n, 0), len(f.idle))] {
+		f.retireLocked(s)
 	}
 }
 
 // retireLocked ends a connection as soon as it is idle. Only an idle one is woken:
 // a deadline in the past would break the reading of a request.
 func (f *front) retireLocked(s *submitter) {
-	s.retire.Store(true)
-	if slices.Contains(f.idle, s) {
+	if !s.retire.Swap(true) && slices.Contains(f.idle, s) {
 		s.conn.SetReadDeadline(wakeUp)
 	}
 }
--- a/internal/platform/machines.go
+++ b/internal/platform/machines.go
@@ -170,7 +170,7 @@
 	for {
 		target, limit := pathMembers, listLimit
 		if !whole {
-			target = fmt.Sprintf("%s?index=%d&wait=%d", pathMembers, m.version, watchWait.Milliseconds())
+			target = fmt.Sprintf("%s?%s=%d&%s=%d", pathMembers, queryIndex, m.version, queryWait, watchWait.Milliseconds())
 			limit = watchWait + watchSlack
 		}
 		err := c.send(target, limit)
--- a/internal/platform/names.go
+++ b/internal/platform/names.go
@@ -14,7 +14,9 @@
 	headerTurnedAway = "X-Turned-Away"
 	headerRetryAfter = "Retry-After"
 
-	queryKey = "user"
+	queryKey   = "user"
+	queryIndex = "index"
+	queryWait  = "wait"
 
 	labelSlots  = "slots"
 	labelMemory = "memory"
@@ -40,5 +42,5 @@
 const (
 	maxBody     = 64 << 10
 	maxHead     = 16 << 10
-	maxResponse = 1 << 20 // a whole answer of an execute node or of discovery
+	maxResponse = maxHead + 2*maxBody // a whole answer of an execute node or of discovery, framing included
 )
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -10,12 +10,11 @@
 	"github.com/vatu-meals/foxlift/internal/counters"
 )
 
-// How the descriptors are shared: most go to submitters, of whom many wait for
-// each node's answer; the spare ones are for the list, the listener and the
-// runtime.
+// How the descriptors are shared: some are spare, for the list, the listener and
+// the runtime; the rest is halved between submitters and execute nodes, so that
+// every job that may be open can also be on its way to a node.
 const (
-	nodeShare  = 0.4
-	spareShare = 1.0 / 16
+	sparePart  = 16 // of all descriptors
 	spareLeast = 16
 )
 
@@ -46,10 +45,10 @@
 	if err != nil {
 		return nil, fmt.Errorf("listen (LB_LISTEN): %w", err)
 	}
-	files := cfg.Sockets - max(spareLeast, int(float64(cfg.Sockets)*spareShare))
-	forNodes := int(float64(files) * nodeShare)
-	c.Connect(newNodes(list, cfg.Settings, set, forNodes), list)
-	p := &Platform{front: newFront(c, clock, set, listener, files-forNodes), machines: list, core: c}
+	half := (cfg.Sockets - max(spareLeast, cfg.Sockets/sparePart)) / 2
+	front := newFront(c, clock, set, listener, half)
+	c.Connect(newNodes(list, cfg.Settings, set, half), list, front.mostJobs())
+	p := &Platform{front: front, machines: list, core: c}
 	c.Start(workers)
 	go p.front.accept()
 	return p, nil
--- a/internal/platform/rules_test.go
+++ b/internal/platform/rules_test.go
@@ -368,7 +368,7 @@
 	s := connect(t, p)
 	s.ask(t, jobText("reading", "j0", "9000m", ""))
 	await(t, "idle", func() bool { p.front.mu.Lock(); defer p.front.mu.Unlock(); return len(p.front.idle) == 1 })
-	p.front.retireOldest()
+	p.front.makeRoom(1)
 	r, _ := s.ask(t, jobText("reading", "j1", "9000m", ""))
 	check(t, "status", r.StatusCode, 200)
 	check(t, "ends its connection", r.Close, true)
@@ -402,6 +402,42 @@
 	<-ended
 }
 
+// More submitters than there are descriptors for: what cannot be held is refused at
+// once, and none waits unread until its submitter gives up.
+func TestMoreJobsThanDescriptors(t *testing.T) {
+	release := make(chan bool)
+	handle := func(c net.Conn, r *http.Request, id string) bool {
+		sayStates(c, id, false, `"started"`)
+		<-release
+		return false
+	}
+	var nodes []*toyNode
+	for range 12 { // enough for none to be held
+		nodes = append(nodes, newNode(t, handle))
+	}
+	p, set := startWith(t, 80, "", nodes...)
+	refused := 0
+	var held []*toySubmitter
+	for i := range p.front.budget + 20 {
+		s := connect(t, p)
+		s.send(t, jobText("ratify", fmt.Sprint("j", i), "19000m", ""))
+		if i < p.front.mostJobs() {
+			await(t, "taken", func() bool { return set.Get("jobs.taken") == int64(i+1) })
+			held = append(held, s)
+			continue
+		}
+		r, _ := s.answer(t)
+		check(t, "status", r.StatusCode, 503)
+		check(t, "Retry-After", r.Header.Get("Retry-After"), "1.000")
+		refused++
+	}
+	check(t, "refused", set.Get("jobs.too_many"), int64(refused))
+	close(release)
+	for _, s := range held {
+		s.answer(t)
+	}
+}
+
 // The end: health turns 503, what comes in is still served, answers end their
 // connections, and what runs is finished, the backlog too.
 func TestShutDown(t *testing.T) {
@@ -593,6 +629,12 @@
 			t.Errorf("%d bytes, %v; want %d", len(line), err, len(want))
 		}
 	}
+	b.conn = scripted{text: strings.NewReader(strings.Repeat("c", 2*keptSize) + "\n")}
+	large := b.message(1 << 20)
+	large.ReadString('\n')
+	large.end()
+	check(t, "size once empty", len(b.data), 0)
+	b.conn = scripted{text: strings.NewReader("d")}
 	m := b.message(1)
 	if _, err := m.ReadString('\n'); err != errTooLong {
 		t.Errorf("past the limit: %v", err)
--- a/internal/platform/toy_test.go
+++ b/internal/platform/toy_test.go
@@ -111,9 +111,13 @@
 	return fmt.Sprintf(`{"host":"n%d","dial":%q,"site":"a","class":"k","block":0,"health":%q,"born_ms":0}`, i, n.Addr(), health)
 }
 
-// start runs a scheduler whose list names these nodes. Without a discovery of
-// the test's, calls to it are refused.
 func start(t *testing.T, discovery string, nodes ...*toyNode) (*Platform, *counters.Set) {
+	return startWith(t, 256, discovery, nodes...)
+}
+
+// startWith runs a scheduler whose list names these nodes. Without a discovery of
+// the test's, calls to it are refused.
+func startWith(t *testing.T, sockets int, discovery string, nodes ...*toyNode) (*Platform, *counters.Set) {
 	s, err := config.ParseSettings([]byte(toySettings))
 	if err != nil {
 		t.Fatal(err)
@@ -123,7 +127,7 @@
 		discovery = l.Addr().String()
 		l.Close()
 	}
-	cfg := &config.Scheduler{Listen: "127.0.0.1:0", Discovery: discovery, Sockets: 256,
+	cfg := &config.Scheduler{Listen: "127.0.0.1:0", Discovery: discovery, Sockets: sockets,
 		Known: []byte(hosts(1, true, nodes...)), Settings: s}
 	set, clock := &counters.Set{}, core.NewClock()
 	c, err := core.New(s, 1, clock, set)
