Reload on SIGHUP; refuse ambiguous framing; bound new connections by 2 s

Checked in the library's source: net/http deletes Content-Length beside Transfer-Encoding, merges equal lengths and ignores Transfer-Encoding in HTTP/1.0; signed and huge lengths it refuses by itself. So checkFraming looks at the head as it came.

SIGHUP: the file is read and checked whole, the watch's call is cancelled and the new discovery's list taken whole, with retries for 3.5 s in machines.watch. Floods: connections that have brought no job make way first. Chunked bodies no longer grow the buffer; a passed deadline does not hide what has arrived.

--- a/cmd/foxlift/main.go
+++ b/cmd/foxlift/main.go
@@ -1,6 +1,6 @@
 // Command foxlift is a job scheduler on the platform's protocol. See the README
-// for its configuration. SIGUSR1 prints its counters; SIGTERM and SIGINT end it
-// once everything taken is answered.
+// for its configuration. SIGUSR1 prints its counters; SIGHUP reads the file
+// again; SIGTERM and SIGINT end it once everything taken is answered.
 package main
 
 import (
@@ -25,8 +25,12 @@
 }
 
 func run() error {
-	signals := make(chan os.Signal, 4)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGUSR1)
+	// Each kind has its own channel: none is lost while another is being seen to. A
+	// SIGHUP before the start counts after it; amid the end it does nothing.
+	ends, reloads, asks := make(chan os.Signal, 1), make(chan os.Signal, 1), make(chan os.Signal, 1)
+	signal.Notify(reloads, syscall.SIGHUP)
+	signal.Notify(ends, syscall.SIGTERM, syscall.SIGINT)
+	signal.Notify(asks, syscall.SIGUSR1)
 	cfg, err := config.Load(os.Getenv)
 	if err != nil {
 		return err
@@ -45,14 +49,34 @@
 		return err
 	}
 	fmt.Fprintf(os.Stderr, "foxlift: %s listens on %s\n", cfg.Name, p.Addr())
-	for s := range signals {
-		if s != syscall.SIGUSR1 {
-			break
+	for running := true; running; {
+		select {
+		case <-ends:
+			running = false
+		case <-asks:
+			set.Print(os.Stderr)
+		case <-reloads:
+			reload(p, set)
 		}
-		set.Print(os.Stderr)
 	}
 	fmt.Fprintln(os.Stderr, "foxlift: ending")
 	p.ShutDown()
 	set.Print(os.Stderr)
 	return nil
 }
+
+// reload takes over what the configuration file says now; one that is faulty
+// anywhere changes nothing.
+func reload(p *platform.Platform, set *counters.Set) {
+	cfg, err := config.Reload(os.Getenv)
+	if err == nil {
+		err = p.Reload(cfg)
+	}
+	if err != nil {
+		set.Add("reloads.faulty")
+		fmt.Fprintln(os.Stderr, "foxlift: not reloaded:", err)
+		return
+	}
+	set.Add("reloads.done")
+	fmt.Fprintln(os.Stderr, "foxlift: reloaded, discovery is", cfg.Discovery)
+}
--- a/cmd/foxlift/main_test.go
+++ b/cmd/foxlift/main_test.go
@@ -98,9 +98,29 @@
 	if resp.StatusCode != http.StatusOK {
 		t.Errorf("health %d", resp.StatusCode)
 	}
+	// A reload never ends it, not even amid its end; a faulty file is one line.
+	path := ""
+	for _, v := range cmd.Env {
+		if name, value, _ := strings.Cut(v, "="); name == "LB_CONFIG" {
+			path = value
+		}
+	}
+	text, err := os.ReadFile(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for with, want := range map[string]string{"127.0.0.1:1": "reloaded, discovery is 127.0.0.1:1", "": "not reloaded: discovery"} {
+		now := bytes.Replace(text, []byte("127.0.0.1:8500"), []byte(with), 1)
+		if err := os.WriteFile(path, now, 0o600); err != nil {
+			t.Fatal(err)
+		}
+		cmd.Process.Signal(syscall.SIGHUP)
+		until(want)
+	}
 	for _, s := range []os.Signal{syscall.SIGUSR1, syscall.SIGTERM} {
 		cmd.Process.Signal(s)
 		until("accept.connections 1")
+		cmd.Process.Signal(syscall.SIGHUP)
 	}
 	for lines.Scan() {
 	}
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -48,7 +48,13 @@
 
 // Load reads the configuration from the environment that getenv shows. A
 // variable stands above the file's value of the same name.
-func Load(getenv func(string) string) (*Scheduler, error) {
+func Load(getenv func(string) string) (*Scheduler, error) { return read(getenv, false) }
+
+// Reload reads it again at a running scheduler. What has changed since the start is
+// the file: its discovery stands above the variable.
+func Reload(getenv func(string) string) (*Scheduler, error) { return read(getenv, true) }
+
+func read(getenv func(string) string, again bool) (*Scheduler, error) {
 	path := getenv("LB_CONFIG")
 	if path == "" {
 		return nil, fmt.Errorf("LB_CONFIG: not set; it names the configuration file")
@@ -66,7 +72,7 @@
 		key string
 		to  *string
 	}{{"LB_NAME", &s.Name}, {"LB_LISTEN", &s.Listen}, {"LB_DISCOVERY", &s.Discovery}} {
-		if x := getenv(v.key); x != "" {
+		if x := getenv(v.key); x != "" && !(again && v.to == &s.Discovery && *v.to != "") {
 			*v.to = x
 		}
 	}
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -20,12 +20,39 @@
 	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
 		t.Fatal(err)
 	}
-	return Load(func(key string) string {
+	return Load(environment(path, env))
+}
+
+func environment(path string, env map[string]string) func(string) string {
+	return func(key string) string {
 		if key == "LB_CONFIG" {
 			return path
 		}
 		return env[key]
-	})
+	}
+}
+
+// At the start LB_DISCOVERY stands above the file, at a reload below it; the other
+// variables always stand above.
+func TestReload(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "config.json")
+	env := environment(path, map[string]string{"LB_DISCOVERY": "127.0.0.9:9", "LB_LISTEN": "127.0.0.2:0"})
+	for _, c := range []struct {
+		text string
+		read func(func(string) string) (*Scheduler, error)
+		want string
+	}{
+		{good, Load, "127.0.0.9:9"},
+		{good, Reload, "127.0.0.1:8500"},
+		{strings.Replace(good, `"discovery"`, `"other"`, 1), Reload, "127.0.0.9:9"},
+	} {
+		if err := os.WriteFile(path, []byte(c.text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		if s, err := c.read(env); err != nil || s.Discovery != c.want || s.Listen != "127.0.0.2:0" {
+			t.Errorf("%+v, %v; want discovery %s", s, err, c.want)
+		}
+	}
 }
 
 func TestLoad(t *testing.T) {
--- a/internal/platform/buffer.go
+++ b/internal/platform/buffer.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"sync"
 	"syscall"
 )
@@ -40,14 +41,19 @@
 	}
 }
 
-// fill reads from the connection once.
+// fill reads from the connection once. A deadline that has passed does not hide
+// what had arrived: the process may only have had no time to read it.
 func (b *buffer) fill() error {
 	if b.w == len(b.data) {
 		b.room()
 	}
+	before := b.buffered()
 	n, err := b.conn.Read(b.data[b.w:])
 	b.w += n
-	if n > 0 {
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		b.fillNow()
+	}
+	if b.buffered() > before {
 		return nil // an error comes again
 	}
 	if err == nil {
@@ -107,8 +113,10 @@
 type message struct {
 	*bufio.Reader // for http.ReadRequest and http.ReadResponse
 	b             *buffer
-	at            int // read so far, from b.r
-	limit         int // most that may be read
+	at            int   // read so far, from b.r
+	limit         int   // most that may be read
+	err           error // how the reading ended; parsers may word it as bad input
+	drop          bool  // what the parser has used need not stay until end
 }
 
 var parsers = sync.Pool{New: func() any { return bufio.NewReader(nil) }}
@@ -129,9 +137,18 @@
 	}
 }
 
+// used is what the parser has used of the buffer.
+func (m *message) used() []byte { return m.b.data[m.b.r : m.b.r+m.at-m.Buffered()] }
+
+// dropUsed gives back what the parser has used of the buffer.
+func (m *message) dropUsed() {
+	n := m.at - m.Buffered()
+	m.b.r, m.at, m.limit = m.b.r+n, m.at-n, m.limit-n
+}
+
 // end drops what the parser has used of the buffer.
 func (m *message) end() {
-	m.b.r += m.at - m.Buffered()
+	m.dropUsed()
 	if m.b.buffered() == 0 && len(m.b.data) > keptSize {
 		m.b.data, m.b.r, m.b.w = nil, 0, 0
 	}
@@ -145,11 +162,15 @@
 func (u unread) Read(p []byte) (int, error) {
 	m := u.m
 	if m.at >= m.limit {
-		return 0, errTooLong
+		m.err = errTooLong
+		return 0, m.err
 	}
 	for m.b.buffered() == m.at {
-		if err := m.b.fill(); err != nil {
-			return 0, err
+		if m.drop {
+			m.dropUsed()
+		}
+		if m.err = m.b.fill(); m.err != nil {
+			return 0, m.err
 		}
 	}
 	n := copy(p[:min(len(p), m.limit-m.at)], m.b.data[m.b.r+m.at:m.b.w])
--- a/internal/platform/front.go
+++ b/internal/platform/front.go
@@ -57,7 +57,8 @@
 	headroom      = 16 // the part of the budget in which idle connections make way
 	jobsSpare     = 8  // the part of it that no waiting job holds
 	graceTime     = 100 * time.Millisecond
-	acceptPause   = 5 * time.Millisecond // after a failed accept, doubled each time
+	slowTime      = 250 * time.Millisecond // a usual submitter has sent its first request by then
+	acceptPause   = 5 * time.Millisecond   // after a failed accept, doubled each time
 	acceptPauseUp = 500 * time.Millisecond
 )
 
@@ -88,7 +89,7 @@
 }
 
 func (f *front) begin(conn net.Conn) {
-	s := &submitter{front: f, conn: conn, buf: buffer{conn: conn}}
+	s := &submitter{front: f, conn: conn, buf: buffer{conn: conn}, began: time.Now()}
 	s.retire.Store(f.closing.Load())
 	f.mu.Lock()
 	f.all[s] = struct{}{}
@@ -113,7 +114,9 @@
 		if len(f.all) < f.budget {
 			break
 		}
+		look := time.AfterFunc(slowTime, f.freed.Broadcast) // some have become slow by then
 		f.freed.Wait()
+		look.Stop()
 	}
 	if last = f.closing.Load(); last {
 		f.listener.SetDeadline(time.Now().Add(backlogTime))
@@ -127,39 +130,83 @@
 	f.makeRoomLocked(n)
 }
 
-// makeRoomLocked ends the n longest idle connections. Those that are about to end
-// already count.
+// makeRoomLocked ends n connections; those that are about to end already count.
+// The first to go are those that never brought a job and are silent, then those
+// that are slow about their first, so that a flood of them does not cost other
+// submitters their connections; last the longest idle.
 func (f *front) makeRoomLocked(n int) {
-	for _, s := range f.idle[:min(max(n, 0), len(f.idle))] {
-		f.retireLocked(s)
+	if n <= 0 {
+		return
+	}
+	end := func(s *submitter, which bool) {
+		if which && n > 0 {
+			n--
+			f.retireLocked(s)
+		}
+	}
+	for _, s := range f.idle {
+		end(s, !s.proven)
+	}
+	for s := range f.all {
+		if !s.proven && !s.awaiting && time.Since(s.began) > slowTime {
+			end(s, true)
+			s.conn.SetReadDeadline(wakeUp)
+		}
+	}
+	for _, s := range f.idle {
+		end(s, s.proven)
 	}
 }
 
 // retireLocked ends a connection as soon as it is idle. Only an idle one is woken:
 // a deadline in the past would break the reading of a request.
 func (f *front) retireLocked(s *submitter) {
-	if !s.retire.Swap(true) && slices.Contains(f.idle, s) {
+	if !s.retire.Swap(true) && s.awaiting {
 		s.conn.SetReadDeadline(wakeUp)
 	}
 }
 
-// setIdle keeps the list of idle connections. One that becomes idle while
-// accepting waits for room makes way.
-func (f *front) setIdle(s *submitter, idle bool) {
+// await notes that a connection's next request has not begun, and returns whether
+// it has brought a job before. One that becomes idle while accepting waits for
+// room makes way.
+func (f *front) await(s *submitter) (proven bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if idle {
-		f.idle = append(f.idle, s)
-		if len(f.all) >= f.budget {
-			f.freed.Broadcast()
-		}
-		return
+	s.awaiting = true
+	f.idle = append(f.idle, s)
+	if len(f.all) >= f.budget {
+		f.freed.Broadcast()
 	}
+	return s.proven
+}
+
+// awaited notes that a connection's next request has begun, or never will.
+func (f *front) awaited(s *submitter) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	s.awaiting = false
 	if i := slices.Index(f.idle, s); i >= 0 {
 		f.idle = slices.Delete(f.idle, i, i+1)
 	}
 }
 
+// prove notes that a connection has brought a job.
+func (f *front) prove(s *submitter) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	s.proven = true
+}
+
+// readUntil is when a request that now begins must have come to its end.
+func (f *front) readUntil(s *submitter) time.Time {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if s.proven {
+		return time.Now().Add(readLimit)
+	}
+	return s.began.Add(readLimit)
+}
+
 // shutDown ends the front: for a while it takes what comes in, then it closes
 // the listener and the idle connections, and returns when all are answered.
 func (f *front) shutDown(moments time.Duration) {
--- a/internal/platform/machines.go
+++ b/internal/platform/machines.go
@@ -1,6 +1,7 @@
 package platform
 
 import (
+	"context"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -21,16 +22,21 @@
 	dialLimit   = time.Second             // for a connection to discovery
 	watchBroken = 200 * time.Millisecond  // a later call starts a new watch
 	catchUp     = 100 * time.Millisecond  // most that a claim waits for the watch to read
+	switchTime  = 3500 * time.Millisecond // after a switch to another discovery, calls that fail are made again
+	switchLimit = 2 * time.Second         // for the whole list then
+	switchPause = 50 * time.Millisecond   // between those
 )
 
 // machines is the machine list and the watch on it. Claims ask it just before
 // they send, so that they see a change before the core has heard of it.
 type machines struct {
-	addr     string
 	settings *config.Settings
 	tell     func(foxlift.ListKind, []foxlift.Worker)
 
 	mu       sync.Mutex
+	addr     string
+	cancel   context.CancelFunc // ends the calls to addr
+	urgent   time.Time          // until then the first whole list from addr is asked for again and again
 	entries  map[string]machine
 	version  int64
 	watching bool
@@ -90,8 +96,8 @@
 	return &l, nil
 }
 
-// load takes the list as last known before the start.
-func (m *machines) load(known []byte) ([]foxlift.Worker, error) {
+// parseKnown reads the list as last known before the start; nil if there is none.
+func parseKnown(known []byte) (*listing, error) {
 	if len(known) == 0 || string(known) == "null" {
 		return nil, nil
 	}
@@ -100,13 +106,22 @@
 		return nil, fmt.Errorf("known: %w", err)
 	}
 	l.Whole = true
-	return m.take(l), nil
+	return l, nil
 }
 
-// take puts an answer into the list and returns it in the module's terms.
-func (m *machines) take(l *listing) []foxlift.Worker {
+// load takes the list as last known before the start.
+func (m *machines) load(known []byte) ([]foxlift.Worker, error) {
+	l, err := parseKnown(known)
+	if l == nil {
+		return nil, err
+	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	return m.takeLocked(l), nil
+}
+
+// takeLocked puts an answer into the list and returns it in the module's terms.
+func (m *machines) takeLocked(l *listing) []foxlift.Worker {
 	if l.Whole {
 		clear(m.entries)
 	}
@@ -123,6 +138,18 @@
 	return workers
 }
 
+// takeFrom takes an answer to a call, unless the watch has gone over to another
+// discovery since: what the old one said last must not replace the new list.
+func (m *machines) takeFrom(ctx context.Context, l *listing) ([]foxlift.Worker, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if err := ctx.Err(); err != nil {
+		return nil, err
+	}
+	m.urgent = time.Time{}
+	return m.takeLocked(l), nil
+}
+
 // find returns a node's entry, if new work may go there now. A change counts as
 // told once discovery has written it: where an answer has arrived that the watch
 // has not yet read (the process stood still, or the core was busy), find waits for
@@ -143,32 +170,68 @@
 func (m *machines) Watch() {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	m.watchLocked()
+}
+
+func (m *machines) watchLocked() {
 	if !m.watching {
 		m.watching = true
 		go m.watch()
 	}
 }
 
-// watch takes the whole list and then its changes, until a call fails.
-func (m *machines) watch() {
-	err := m.follow()
+// switchTo goes over to another discovery at once: the call to the old one is
+// ended, and the new one's list is taken whole as soon as it is to be had. Until
+// then the last list holds.
+func (m *machines) switchTo(addr string) {
 	m.mu.Lock()
-	m.watching = false
-	m.mu.Unlock()
-	if err != nil {
-		m.tell(foxlift.ListFailed, nil)
+	defer m.mu.Unlock()
+	m.addr, m.urgent = addr, time.Now().Add(switchTime)
+	if m.cancel != nil {
+		m.cancel()
 	}
+	m.watchLocked()
 }
 
-func (m *machines) follow() error {
-	c := &caller{addr: m.addr}
+// watch takes the whole list and then its changes, until a call fails. Only after
+// a switch does it try again by itself: what the new discovery has to tell counts
+// as told soon after, and the module's pause could be longer.
+func (m *machines) watch() {
+	for {
+		m.mu.Lock()
+		ctx, cancel := context.WithCancel(context.Background())
+		addr := m.addr
+		m.cancel = cancel
+		m.mu.Unlock()
+		_ = m.follow(ctx, addr) // whatever ended it, the list is to be asked for again
+		m.mu.Lock()
+		switched := ctx.Err() != nil
+		urgent := time.Now().Before(m.urgent)
+		m.cancel, m.conn = nil, nil
+		m.watching = switched || urgent
+		m.mu.Unlock()
+		cancel()
+		switch {
+		case switched:
+		case urgent:
+			<-time.After(switchPause)
+		default:
+			m.tell(foxlift.ListFailed, nil)
+			return
+		}
+	}
+}
+
+// follow makes calls until one fails or ctx ends.
+func (m *machines) follow(ctx context.Context, addr string) error {
+	c := &caller{ctx: ctx, addr: addr}
 	defer c.close()
 	whole := true // a first call, and one after a gap, takes the whole list
 	var kind foxlift.ListKind
 	var news []foxlift.Worker
 	var told bool
 	for {
-		target, limit := pathMembers, listLimit
+		target, limit := pathMembers, m.listLimit()
 		if !whole {
 			target = fmt.Sprintf("%s?%s=%d&%s=%d", pathMembers, queryIndex, m.version, queryWait, watchWait.Milliseconds())
 			limit = watchWait + watchSlack
@@ -185,7 +248,6 @@
 		m.await(c.conn)
 		body, err := c.receive()
 		if err != nil {
-			m.await(nil)
 			return err
 		}
 		answered := time.Now()
@@ -194,7 +256,6 @@
 			err = errors.New("the answer is not the whole list")
 		}
 		if err != nil {
-			m.await(nil)
 			return err
 		}
 		if !l.Whole && *l.Version < m.version {
@@ -202,7 +263,9 @@
 			continue
 		}
 		told = l.Whole || len(l.Hosts) > 0
-		news = m.take(l)
+		if news, err = m.takeFrom(ctx, l); err != nil {
+			return err
+		}
 		kind = foxlift.ListChanges
 		if l.Whole {
 			kind = foxlift.ListFull
@@ -211,6 +274,16 @@
 	}
 }
 
+// listLimit is how long a call for the whole list may take.
+func (m *machines) listLimit() time.Duration {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if time.Now().Before(m.urgent) {
+		return switchLimit
+	}
+	return listLimit
+}
+
 // await notes the connection on which an answer is awaited; nil for none.
 func (m *machines) await(conn net.Conn) {
 	m.mu.Lock()
@@ -220,13 +293,16 @@
 
 // A caller makes calls to discovery, on one connection while it lasts.
 type caller struct {
+	ctx  context.Context // its end breaks off what is under way
 	addr string
 	conn net.Conn
 	buf  buffer
+	stop func() bool // conn no longer ends with ctx
 }
 
 func (c *caller) close() {
 	if c.conn != nil {
+		c.stop()
 		c.conn.Close()
 		c.conn = nil
 	}
@@ -234,11 +310,13 @@
 
 func (c *caller) send(target string, limit time.Duration) error {
 	if c.conn == nil {
-		conn, err := net.DialTimeout("tcp", c.addr, dialLimit)
+		d := net.Dialer{Timeout: dialLimit}
+		conn, err := d.DialContext(c.ctx, "tcp", c.addr)
 		if err != nil {
 			return err
 		}
 		c.conn, c.buf = conn, buffer{conn: conn}
+		c.stop = context.AfterFunc(c.ctx, func() { conn.Close() })
 	}
 	c.conn.SetDeadline(time.Now().Add(limit))
 	_, err := fmt.Fprintf(c.conn, "GET %s HTTP/1.1\r\nHost: %s\r\n\r\n", target, c.addr)
--- a/internal/platform/parse.go
+++ b/internal/platform/parse.go
@@ -1,6 +1,7 @@
 package platform
 
 import (
+	"bytes"
 	"errors"
 	"fmt"
 	"math"
@@ -34,14 +35,51 @@
 	return &badInput{status, "bad." + counter, fmt.Sprintf(format, args...)}
 }
 
+// checkFraming looks at a request's head as it came, for what http.ReadRequest
+// reads in one way and another party may read in another: then a second request
+// could hide in the body (RFC 9112, 6.1 to 6.3 and 11.2).
+func checkFraming(head []byte, req *http.Request) *badInput {
+	lengths, codings := 0, 0
+	for line := range bytes.SplitSeq(head, []byte("\n")) {
+		line = bytes.TrimSuffix(line, []byte("\r"))
+		if bytes.ContainsAny(line, "\r\x00") {
+			return bad(http.StatusBadRequest, "head", "a control character in the head")
+		}
+		if len(line) > 0 && (line[0] == ' ' || line[0] == '\t') {
+			return bad(http.StatusBadRequest, "head", "a folded header line")
+		}
+		switch name, _, _ := bytes.Cut(line, []byte(":")); strings.ToLower(string(name)) {
+		case "content-length":
+			lengths++
+		case "transfer-encoding":
+			codings++
+		}
+	}
+	switch {
+	case lengths > 0 && codings > 0:
+		return bad(http.StatusBadRequest, "framing", "both Content-Length and Transfer-Encoding")
+	case lengths > 1 || codings > 1:
+		return bad(http.StatusBadRequest, "framing", "a repeated Content-Length or Transfer-Encoding")
+	case codings > 0 && !req.ProtoAtLeast(1, 1):
+		return bad(http.StatusBadRequest, "framing", "Transfer-Encoding before HTTP/1.1")
+	}
+	return nil
+}
+
 // parseJob makes a job of a request read in full.
 func parseJob(req *http.Request, body []byte) (*core.Job, *badInput) {
-	ids := req.Header[headerID]
-	if len(ids) != 1 || ids[0] == "" {
-		return nil, bad(http.StatusBadRequest, "id", "%s must be there once", headerID)
+	if ids := req.Header[headerID]; len(ids) != 1 || !isToken(ids[0]) {
+		return nil, bad(http.StatusBadRequest, "id", "%s must be there once, in printable characters", headerID)
+	}
+	for _, name := range []string{headerClass, headerTenant, headerRemaining, headerLabels, headerRepeat} {
+		if len(req.Header[name]) > 1 {
+			return nil, bad(http.StatusBadRequest, "head", "%s is there more than once", name)
+		}
 	}
 	class := req.Header.Get(headerClass)
-	if first, _, _ := strings.Cut(strings.TrimPrefix(req.URL.Path, "/"), "/"); class != first {
+	// The target goes to the node as it came: it must say the same there.
+	path, _, _ := strings.Cut(req.RequestURI, "?")
+	if first, _, _ := strings.Cut(strings.TrimPrefix(path, "/"), "/"); path == first || class != first {
 		return nil, bad(http.StatusBadRequest, "class", "%s and the path's first part differ", headerClass)
 	}
 	remaining, err := parseRemaining(req.Header.Get(headerRemaining))
@@ -53,13 +91,18 @@
 		return nil, bad(http.StatusBadRequest, "labels", "%s: %v", headerLabels, err)
 	}
 	return &core.Job{
-		ID: ids[0], Class: class, Tenant: req.Header.Get(headerTenant), Remaining: remaining,
+		ID: req.Header.Get(headerID), Class: class, Tenant: req.Header.Get(headerTenant), Remaining: remaining,
 		Key: config.ParseKey([]byte(req.URL.Query().Get(queryKey))), Slots: slots, Memory: memory,
 		Repeat:  req.Header.Get(headerRepeat) == "1",
 		Payload: &payload{method: req.Method, target: req.RequestURI, header: req.Header, body: body},
 	}, nil
 }
 
+// isToken reports whether s may stand in a header towards execute nodes.
+func isToken(s string) bool {
+	return s != "" && !strings.ContainsFunc(s, func(r rune) bool { return r <= ' ' || r > '~' })
+}
+
 // parseRemaining reads a number with its unit, m (milliseconds) or u
 // (microseconds). What no duration can hold is cut to the longest.
 func parseRemaining(s string) (time.Duration, error) {
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -54,6 +54,16 @@
 	return p, nil
 }
 
+// Reload goes over to the discovery of a configuration that has been read again.
+// It checks all of it first; with an error nothing changes.
+func (p *Platform) Reload(cfg *config.Scheduler) error {
+	if _, err := parseKnown(cfg.Known); err != nil {
+		return err
+	}
+	p.machines.switchTo(cfg.Discovery)
+	return nil
+}
+
 // Addr returns the address on which submitters are served.
 func (p *Platform) Addr() net.Addr { return p.front.listener.Addr() }
 
--- a/internal/platform/rules_test.go
+++ b/internal/platform/rules_test.go
@@ -2,17 +2,20 @@
 
 import (
 	"bufio"
+	"context"
 	"errors"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strings"
 	"syscall"
 	"testing"
 	"time"
 
 	"github.com/vatu-meals/foxlift"
+	"github.com/vatu-meals/foxlift/internal/config"
 	"github.com/vatu-meals/foxlift/internal/core"
 	"github.com/vatu-meals/foxlift/internal/counters"
 )
@@ -69,22 +72,33 @@
 		counter string
 		goesOn  bool
 	}{
-		"no HTTP":         {"hello\r\n\r\n", 400, "bad.head", false},
-		"bad header":      {jobText(r, "j", m, "", "no colon"), 400, "bad.head", false},
-		"long head":       {jobText(r, "j", m, "", "X-Long: "+strings.Repeat("x", maxHead)), 431, "bad.head", false},
-		"bad length":      {jobText(r, "j", m, "", "-Content-Length", "Content-Length: 1x"), 400, "bad.head", false},
-		"two lengths":     {jobText(r, "j", m, "a", "Content-Length: 2"), 400, "bad.head", false},
-		"bad chunk":       {jobText(r, "j", m, "", "-Content-Length", "Transfer-Encoding: chunked") + "x\r\n", 400, "bad.length", false},
-		"long body":       {jobText(r, "j", m, strings.Repeat("b", maxBody+1)), 413, "bad.body", false},
-		"long chunks":     {jobText(r, "j", m, "", "-Content-Length", "Transfer-Encoding: chunked") + "10001\r\n" + strings.Repeat("b", 65537) + "\r\n0\r\n\r\n", 413, "bad.body", false},
-		"no id":           {jobText(r, "j", m, "", "-"+headerID), 400, "bad.id", true},
-		"two ids":         {jobText(r, "j", m, "", headerID+": k"), 400, "bad.id", true},
-		"unknown class":   {jobText("other", "j", m, ""), 400, "bad.job", true},
-		"unknown tenant":  {jobText(r, "j", m, "", "-"+headerTenant, headerTenant+": nobody"), 400, "bad.job", true},
-		"no tenant":       {jobText(r, "j", m, "", "-"+headerTenant), 400, "bad.job", true},
-		"bad remaining":   {jobText(r, "j", "5", ""), 400, "bad.remaining", true},
-		"not by POST":     {strings.Replace(jobText(r, "j", m, ""), "POST", "PUT", 1), 405, "bad.method", true},
-		"bad health call": {"DELETE /_health HTTP/1.1\r\nHost: x\r\n\r\n", 405, "", true},
+		"no HTTP":          {"hello\r\n\r\n", 400, "bad.head", false},
+		"bad header":       {jobText(r, "j", m, "", "no colon"), 400, "bad.head", false},
+		"long head":        {jobText(r, "j", m, "", "X-Long: "+strings.Repeat("x", maxHead)), 431, "bad.head", false},
+		"bad length":       {jobText(r, "j", m, "", "-Content-Length", "Content-Length: 1x"), 400, "bad.head", false},
+		"two lengths":      {jobText(r, "j", m, "a", "Content-Length: 2"), 400, "bad.head", false},
+		"length, chunked":  {jobText(r, "j", m, "0\r\n\r\n", "Transfer-Encoding: chunked"), 400, "bad.framing", false},
+		"length twice":     {jobText(r, "j", m, "a", "Content-Length: 1"), 400, "bad.framing", false},
+		"signed length":    {jobText(r, "j", m, "", "-Content-Length", "Content-Length: +1"), 400, "bad.head", false},
+		"huge length":      {jobText(r, "j", m, "", "-Content-Length", "Content-Length: 99999999999999999999"), 400, "bad.head", false},
+		"chunked in 1.0":   {strings.Replace(jobText(r, "j", m, "", "-Content-Length", "Transfer-Encoding: chunked"), "1.1", "1.0", 1), 400, "bad.framing", false},
+		"folded header":    {jobText(r, "j", m, "", "X-A: b\r\n c"), 400, "bad.head", false},
+		"bare CR":          {jobText(r, "j", m, "", "X-A: b\rc"), 400, "bad.head", false},
+		"bad chunk":        {jobText(r, "j", m, "", "-Content-Length", "Transfer-Encoding: chunked") + "x\r\n", 400, "bad.length", false},
+		"long body":        {jobText(r, "j", m, strings.Repeat("b", maxBody+1)), 413, "bad.body", false},
+		"long chunks":      {jobText(r, "j", m, "", "-Content-Length", "Transfer-Encoding: chunked") + "10001\r\n" + strings.Repeat("b", 65537) + "\r\n0\r\n\r\n", 413, "bad.body", false},
+		"no id":            {jobText(r, "j", m, "", "-"+headerID), 400, "bad.id", true},
+		"two ids":          {jobText(r, "j", m, "", headerID+": k"), 400, "bad.id", true},
+		"id not ASCII":     {jobText(r, "j\xc3\xa4", m, ""), 400, "bad.id", true},
+		"two tenants":      {jobText(r, "j", m, "", headerTenant+": k"), 400, "bad.head", true},
+		"path in disguise": {strings.Replace(jobText(r, "j", m, ""), "/reading", "/%72eading", 1), 400, "bad.class", true},
+		"absolute target":  {strings.Replace(jobText(r, "j", m, ""), "/reading", "http://h/reading", 1), 400, "bad.class", true},
+		"unknown class":    {jobText("other", "j", m, ""), 400, "bad.job", true},
+		"unknown tenant":   {jobText(r, "j", m, "", "-"+headerTenant, headerTenant+": nobody"), 400, "bad.job", true},
+		"no tenant":        {jobText(r, "j", m, "", "-"+headerTenant), 400, "bad.job", true},
+		"bad remaining":    {jobText(r, "j", "5", ""), 400, "bad.remaining", true},
+		"not by POST":      {strings.Replace(jobText(r, "j", m, ""), "POST", "PUT", 1), 405, "bad.method", true},
+		"bad health call":  {"DELETE /_health HTTP/1.1\r\nHost: x\r\n\r\n", 405, "", true},
 	} {
 		s, before := connect(t, p), set.Get(c.counter)
 		resp, _ := s.ask(t, c.text)
@@ -361,6 +375,56 @@
 	check(t, "busy", r.StatusCode, 200)
 }
 
+// Whoever sends nothing, or half a request, is told so or cut off before long.
+func TestSlowSubmitters(t *testing.T) {
+	p, set := start(t, "", newNode(t, done))
+	silent, half := connect(t, p), connect(t, p)
+	half.send(t, jobText("reading", "j0", "9000m", "abc")[:60])
+	r, _ := half.answer(t)
+	check(t, "half a request", r.StatusCode, http.StatusRequestTimeout)
+	if _, err := silent.br.ReadByte(); err != io.EOF {
+		t.Errorf("the silent connection: %v", err)
+	}
+	check(t, "silent", set.Get("bad.silent"), int64(1))
+	check(t, "taken", set.Get("jobs.taken"), int64(0))
+}
+
+// A body that is too long is refused before it has come, and the answer arrives
+// though the other side has sent some of it.
+func TestLongBodyIsRefusedUnread(t *testing.T) {
+	p, _ := start(t, "", newNode(t, done))
+	s := connect(t, p)
+	text := jobText("reading", "j", "9000m", "", "-Content-Length", "Content-Length: 60000000")
+	r, _ := s.ask(t, text+strings.Repeat("b", lingerBytes/2))
+	check(t, "status", r.StatusCode, 413)
+}
+
+// A flood of connections that bring no job does not cost others theirs.
+func TestFloodOfConnections(t *testing.T) {
+	p, _ := start(t, "", newNode(t, done))
+	f := newFront(p.core, core.NewClock(), &counters.Set{}, listen(t).(*net.TCPListener), 20)
+	go f.accept()
+	q := &Platform{front: f}
+	usual := connect(t, q)
+	usual.ask(t, jobText("reading", "j0", "9000m", ""))
+	var flood []*toySubmitter
+	for i := range 60 {
+		s := connect(t, q)
+		if i%2 == 0 {
+			s.send(t, "POST /reading HTTP/1.1\r\n")
+		}
+		flood = append(flood, s)
+	}
+	r, _ := connect(t, q).ask(t, jobText("reading", "j1", "9000m", ""))
+	check(t, "a new connection", r.StatusCode, 200)
+	r, _ = usual.ask(t, jobText("reading", "j2", "9000m", ""))
+	check(t, "the kept connection", r.StatusCode, 200)
+	check(t, "goes on", r.Close, false)
+	for _, s := range flood {
+		s.Close()
+	}
+}
+
 // A request that crosses the end of an idle connection is read and answered.
 func TestRequestCrossesTheEnd(t *testing.T) {
 	p, _ := start(t, "", newNode(t, done))
@@ -585,6 +649,60 @@
 	check(t, "health without machines", r.StatusCode, 503)
 }
 
+// At a switch to another discovery the call to the old one ends at once, the last
+// list holds while the new one cannot be had, and what the old one says late does
+// not count. A faulty configuration changes nothing.
+func TestReload(t *testing.T) {
+	first, second := newNode(t, done), newNode(t, done)
+	addr, calls := newDiscovery(t)
+	p, set := start(t, addr, first)
+	next(t, calls).answer(hosts(7, true, first))
+	old := next(t, calls)
+	later, _ := newDiscovery(t)
+	cfg := &config.Scheduler{Discovery: later, Known: []byte(`{"seq":"x"}`)}
+	if err := p.Reload(cfg); err == nil {
+		t.Error("a faulty list is taken")
+	}
+	l := listen(t)
+	cfg.Discovery, cfg.Known = l.Addr().String(), nil
+	if err := p.Reload(cfg); err != nil {
+		t.Fatal(err)
+	}
+	old.conn.SetReadDeadline(time.Now().Add(patience))
+	if _, err := old.conn.Read(make([]byte, 1)); err == nil || errors.Is(err, os.ErrDeadlineExceeded) {
+		t.Errorf("the old call goes on: %v", err)
+	}
+	for i := range 3 { // it breaks off, and is asked again at once
+		c, err := l.Accept()
+		if err != nil {
+			t.Fatal(err)
+		}
+		r, _ := connect(t, p).ask(t, jobText("reading", fmt.Sprint("j", i), "9000m", ""))
+		check(t, "meanwhile", r.StatusCode, 200)
+		c.Close()
+	}
+	check(t, "the module hears of failures", set.Get("machines.failed"), int64(0))
+	c, err := l.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	if r, err := http.ReadRequest(bufio.NewReader(c)); err != nil || r.RequestURI != pathMembers {
+		t.Fatalf("%v, %v: not the whole list", r, err)
+	}
+	call{"", c}.answer(hosts(2, true, second))
+	await(t, "the new list", func() bool { _, ok := p.machines.find("n0"); return ok && set.Get("machines.told") == 3 })
+	got := second.got.Load()
+	r, _ := connect(t, p).ask(t, jobText("reading", "after", "9000m", ""))
+	check(t, "after", r.StatusCode, 200)
+	check(t, "at the new list's node", second.got.Load(), got+1)
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	if _, err := p.machines.takeFrom(ctx, &listing{Whole: true}); err == nil {
+		t.Error("a late answer of the old discovery is taken")
+	}
+}
+
 // What discovery has written counts as told, read or not: a claim waits for the
 // watch to read it, and no longer than that.
 func TestUnreadListHoldsClaims(t *testing.T) {
@@ -618,6 +736,30 @@
 	}
 }
 
+// What had arrived before a deadline is read after it.
+func TestReadAfterTheDeadline(t *testing.T) {
+	l := listen(t)
+	other, err := net.Dial("tcp", l.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer other.Close()
+	conn, err := l.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	io.WriteString(other, "late")
+	await(t, "arrived", func() bool { return arrived(conn) })
+	conn.SetReadDeadline(wakeUp)
+	b := &buffer{conn: conn}
+	check(t, "error", b.fill(), error(nil))
+	check(t, "read", string(b.data[b.r:b.w]), "late")
+	if err := b.fill(); !errors.Is(err, os.ErrDeadlineExceeded) {
+		t.Errorf("with nothing there: %v", err)
+	}
+}
+
 // One buffer serves any length of message, and what is behind a message stays.
 func TestBuffer(t *testing.T) {
 	b := &buffer{conn: scripted{text: strings.NewReader(strings.Repeat("a", 5000) + "\n" + "b\nc")}}
@@ -634,6 +776,14 @@
 	large.ReadString('\n')
 	large.end()
 	check(t, "size once empty", len(b.data), 0)
+	b.conn = scripted{text: strings.NewReader(strings.Repeat("e", 8*keptSize) + "\n")}
+	long := b.message(1 << 20)
+	long.drop = true
+	for err := error(nil); err == nil; _, err = long.Discard(firstSize) {
+	}
+	if long.end(); len(b.data) > keptSize {
+		t.Errorf("the buffer grew to %d with what was used", len(b.data))
+	}
 	b.conn = scripted{text: strings.NewReader("d")}
 	m := b.message(1)
 	if _, err := m.ReadString('\n'); err != errTooLong {
--- a/internal/platform/submitter.go
+++ b/internal/platform/submitter.go
@@ -15,9 +15,12 @@
 )
 
 const (
-	readLimit  = 10 * time.Second // for a request, from its first byte to its last
-	writeLimit = 10 * time.Second // for an answer
-	lingerTime = time.Second      // for the other side to read an answer before the end
+	// For a request, from its first byte to its last; for the first on a connection
+	// from the accept. Whoever sends nothing or half a request is told so within 3 s.
+	readLimit   = 2 * time.Second
+	writeLimit  = 10 * time.Second       // for an answer
+	lingerTime  = 500 * time.Millisecond // for the other side to read an answer before the end,
+	lingerBytes = 1 << 20                // while it goes on sending at most this
 )
 
 // The past as a read deadline wakes a connection's goroutine from Read.
@@ -31,7 +34,12 @@
 	front  *front
 	conn   net.Conn
 	buf    buffer
+	began  time.Time
 	retire atomic.Bool // to end as soon as it is idle
+
+	// Guarded by front.mu.
+	awaiting bool // the next request has not begun
+	proven   bool // it has brought a job
 }
 
 // A waiting is the submitter's wait for the answer to one job.
@@ -61,11 +69,15 @@
 
 // awaitRequest waits for a request's first byte.
 func (s *submitter) awaitRequest() bool {
-	s.front.setIdle(s, true)
-	defer s.front.setIdle(s, false)
+	proven := s.front.await(s)
+	defer s.front.awaited(s)
 	for {
+		limit := time.Time{}
+		if !proven {
+			limit = s.began.Add(readLimit)
+		}
 		// In this order: a wake-up between the two ends the wait below.
-		s.conn.SetReadDeadline(time.Time{})
+		s.conn.SetReadDeadline(limit)
 		if s.buf.buffered() > 0 {
 			return true
 		}
@@ -78,6 +90,10 @@
 		if err := s.buf.fill(); err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
 			return false
 		}
+		if !proven && s.buf.buffered() == 0 && !time.Now().Before(limit) {
+			s.front.counters.Add("bad.silent")
+			return false
+		}
 	}
 }
 
@@ -96,6 +112,7 @@
 	}
 	switch {
 	case req.URL.Path == pathHealth:
+		s.front.prove(s)
 		return s.write(s.health(req.Method), req.Close)
 	case req.Method != http.MethodPost:
 		input = bad(http.StatusMethodNotAllowed, "method", "jobs come by POST")
@@ -105,6 +122,7 @@
 	if input != nil {
 		return s.write(s.refuseInput(input), req.Close)
 	}
+	s.front.prove(s)
 	answer, left := s.run(job)
 	return s.write(s.word(answer), req.Close || left)
 }
@@ -174,13 +192,16 @@
 
 // readRequest reads a whole request. All nil means that the connection ended.
 func (s *submitter) readRequest() (*http.Request, []byte, *badInput) {
-	limit := time.Now().Add(readLimit)
+	limit := s.front.readUntil(s)
 	s.conn.SetReadDeadline(limit)
 	m := s.buf.message(maxHead)
 	defer m.end()
 	req, err := http.ReadRequest(m.Reader)
 	if err != nil {
-		return nil, nil, s.readError(err, "head")
+		return nil, nil, s.readError(m, err, "head")
+	}
+	if input := checkFraming(m.used(), req); input != nil {
+		return nil, nil, input
 	}
 	if req.ContentLength > maxBody {
 		return nil, nil, bad(http.StatusRequestEntityTooLarge, "body", "a body holds %d bytes at most", maxBody)
@@ -189,10 +210,11 @@
 		s.conn.SetWriteDeadline(limit)
 		s.conn.Write([]byte("HTTP/1.1 100 Continue\r\n\r\n"))
 	}
+	m.drop = true
 	m.limit = m.at + 2*maxBody // chunked framing takes room too
 	body, err := io.ReadAll(io.LimitReader(req.Body, maxBody+1))
 	if err != nil {
-		return nil, nil, s.readError(err, "length")
+		return nil, nil, s.readError(m, err, "length")
 	}
 	if len(body) > maxBody {
 		return nil, nil, bad(http.StatusRequestEntityTooLarge, "body", "a body holds %d bytes at most", maxBody)
@@ -201,7 +223,10 @@
 }
 
 // readError tells bad input from a connection that has ended.
-func (s *submitter) readError(err error, counter string) *badInput {
+func (s *submitter) readError(m *message, err error, counter string) *badInput {
+	if m.err != nil {
+		err = m.err
+	}
 	var network net.Error
 	switch {
 	case errors.Is(err, errTooLong):
@@ -232,11 +257,12 @@
 }
 
 // linger lets the other side read the answer: closing with unread bytes would
-// reset the connection and could take the answer with it.
+// reset the connection and could take the answer with it. It is bounded, or a few
+// that never stop sending would have all the time there is.
 func (s *submitter) linger() {
 	if tcp, ok := s.conn.(*net.TCPConn); ok && tcp.CloseWrite() == nil {
 		s.conn.SetReadDeadline(time.Now().Add(lingerTime))
-		io.Copy(io.Discard, s.conn)
+		io.CopyN(io.Discard, s.conn, lingerBytes)
 	}
 }
 
