Refuse late tries at once where work is short; count a job's age from the first try

A client's next try brings what is left of its patience, while accept and expireHeld counted its age from its arrival here: it was held and run for nothing and took the place of jobs still in time.

--- a/dispatcher.go
+++ b/dispatcher.go
@@ -33,7 +33,7 @@
 	repeatable bool       // some class may be repeated
 	copies     float64    // of overdue jobs that may be sent
 	scouting   []*job     // waiting for news of some workers
-	urgent     []*job     // came just before their deadline
+	urgent     []*job     // came just before their deadline, or too late to be in time
 
 	classes  []classLoop
 	u        float64 // admission rate of the whole fleet, jobs a second
@@ -173,25 +173,33 @@
 		size = r.Size
 	}
 	j.wanted = c.Aim + int64(c.Stretch*float64(size))
+	// A client's next try brings what is left of its patience: the job is as old as
+	// the first. In time counts from there, and what comes too late for that is
+	// worth nothing: where work is short it must not take the place of the rest.
+	c.patience = max(c.patience, r.Deadline-d.now)
+	j.born = r.Deadline - c.patience
 	d.jobs[r.ID] = j
 	d.arrived++
 	j.tenant.arrived++
 	j.tenant.classes[r.Class].came++
-	if r.Deadline-d.now <= 2*d.tick {
+	late := d.now-j.born >= d.holdLimit(j) && d.inflight >= d.window/2
+	if late || r.Deadline-d.now <= 2*d.tick {
 		d.urgent = append(d.urgent, j)
 	} else if d.scout(j) {
 		return
 	}
-	d.hold(j)
+	if !late {
+		d.hold(j)
+	}
 }
 
-// answerUrgent refuses what has found no worker at once and has no time to wait
-// for the next tick: a client's last try may come just before its deadline, and
-// would get no answer at all.
+// answerUrgent refuses what came too late, and what has found no worker at once and
+// has no time to wait for the next tick: a client's last try may come just before
+// its deadline, and would get no answer at all.
 func (d *Dispatcher) answerUrgent() {
 	for _, j := range d.urgent {
-		if j.queued {
-			d.giveUp(j, 0)
+		if len(j.attempts) == 0 {
+			d.giveUp(j, d.cfg.MaxRetryAfter)
 		}
 	}
 	clear(d.urgent)
@@ -763,7 +771,7 @@
 	if t.over() {
 		return 1 / got
 	}
-	return float64(d.now-j.came+1) / float64(d.holdLimit(j)) / (got * got)
+	return float64(d.now-j.born+1) / float64(d.holdLimit(j)) / (got * got)
 }
 
 // sendFrom sends the tenant's most urgent job that a worker has room for: of each
@@ -799,14 +807,14 @@
 	}
 }
 
-// holdLimit is how long a job may wait here. That of a tenant over its share is
-// told early: what it sends past the share is nearly worthless, and a queue of
-// it would delay the rest.
+// holdLimit is how old a job may become that is held. That of a tenant over its
+// share is told early: what it sends past the share is nearly worthless, and a
+// queue of it would delay the rest.
 func (d *Dispatcher) holdLimit(j *job) int64 {
 	if j.tenant.over() {
 		return max(1, j.class.Aim/2)
 	}
-	return max(1, j.wanted-j.class.median)
+	return max(1, j.wanted-j.class.median-int64(d.starts.avg+2*d.starts.dev))
 }
 
 // expireHeld refuses jobs that have waited too long to be in time.
@@ -816,7 +824,7 @@
 		for k := range t.queues {
 			for n := 0; n < len(t.queues[k]); {
 				j := t.queues[k][n]
-				if d.now-j.came < d.holdLimit(j) && d.now+2*d.tick < j.req.Deadline {
+				if d.now-j.born < d.holdLimit(j) && d.now+2*d.tick < j.req.Deadline {
 					n++
 					continue
 				}
--- a/dispatcher_test.go
+++ b/dispatcher_test.go
@@ -1025,3 +1025,31 @@
 		t.Errorf("rate %v with half the fleet lost, %v before", half, whole)
 	}
 }
+
+// A client's next try that can no longer be in time takes no place where work is
+// short, and a held job's age counts from the first try.
+func TestLateTriesAreRefusedWhereWorkIsShort(t *testing.T) {
+	r := newRig(t, testConfig(), fleet(2)...)
+	next := func(id uint64, left int64) Event {
+		e := r.request(id, 0)
+		e.Request.Deadline = r.now + left
+		return e
+	}
+	r.step(r.request(1, 0), next(2, 1000*ms)) // with room the second is served, late or not
+	r.want(ActionSend, 2)
+	for id := uint64(3); len(r.only(ActionSend)) > 0; id++ { // until there is none
+		r.step(r.request(id, 0))
+	}
+	r.step(next(100, 1000*ms))
+	if a := r.want(ActionRefuse, 1)[0]; a.ID != 100 || a.RetryAfter != 0 {
+		t.Errorf("%+v", a) // these settings allow no advice
+	}
+	r.step(next(101, 1980*ms))
+	r.want(ActionRefuse, 0) // it may still be in time
+	hold := r.d.holdLimit(r.d.jobs[101])
+	for r.after(20*ms); r.d.jobs[101] != nil; r.after(10 * ms) {
+		if r.now-5*second > hold+40*ms {
+			t.Fatal("held past its time")
+		}
+	}
+}
--- a/state.go
+++ b/state.go
@@ -16,6 +16,7 @@
 	tenant        *tenant
 	req           Request
 	came          int64
+	born          int64 // when its client first asked, as far as its deadline tells
 	wanted        int64 // it should take no longer than this
 	attempts      []*attempt
 	out           int      // attempts in flight
@@ -159,12 +160,13 @@
 // model and reset law do not depend on the size of the fleet.
 type classLoop struct {
 	*Class
-	median int64 // of recent running times
-	runs   []int64
-	ratios []float64 // job time over wanted time, this second
-	fit    model
-	v, v1  float64 // u(k-1) and u(k-2)
-	w1     float64 // w(k-1)
+	patience int64 // the longest that a client waits, as seen
+	median   int64 // of recent running times
+	runs     []int64
+	ratios   []float64 // job time over wanted time, this second
+	fit      model
+	v, v1    float64 // u(k-1) and u(k-2)
+	w1       float64 // w(k-1)
 }
 
 // ran keeps the running times of the last jobs.
