Hold back a request's last byte to tell dropped connections; one reset does not shut a node

Now all but the last byte is written, and 3 ms later the last: what breaks before it never ran and is NotSent on a kept connection, Unreachable on a new one. In the module a reset counts like an error: a run shuts the node. A start counts as late past two ticks, half the shortest aim, whatever the class: ratify's limit of 1 s let long jobs queue in front of short ones. Ages under two ticks are no lateness: with stretch 0 every job was 'late' (TestMoreJobsThanDescriptors found it).

--- a/dispatcher.go
+++ b/dispatcher.go
@@ -182,7 +182,7 @@
 	d.arrived++
 	j.tenant.arrived++
 	j.tenant.classes[r.Class].came++
-	late := d.now-j.born >= d.holdLimit(j) && d.inflight >= d.window/2
+	late := d.now-j.born >= max(d.holdLimit(j), 2*d.tick) && d.inflight >= d.window/2
 	if late || r.Deadline-d.now <= 2*d.tick {
 		d.urgent = append(d.urgent, j)
 	} else if d.scout(j) {
@@ -1004,7 +1004,7 @@
 func (d *Dispatcher) learnStart(a *attempt) {
 	w, delay := a.worker, d.now-a.sent
 	d.starts.add(float64(delay))
-	late := delay > a.job.class.Aim/2
+	late := delay > 2*d.tick
 	if a.overdue {
 		w.overdue--
 		a.overdue = false
@@ -1082,7 +1082,7 @@
 		w.failing += (1 - w.failing) * 0.2
 		// One error is chance; a run of them is a worker that empties its count
 		// fast and so would draw every job.
-		if e.Code == Reset || w.failing > 0.4 || w.trial {
+		if w.failing > 0.4 || w.trial {
 			d.shut(w)
 		}
 		if w.failing < 0.4 && !a.late {
--- a/dispatcher_test.go
+++ b/dispatcher_test.go
@@ -1053,3 +1053,17 @@
 		}
 	}
 }
+
+// One reset is a connection's, a run of them the worker's.
+func TestResetsInARowShutAWorker(t *testing.T) {
+	r := newRig(t, testConfig(), fleet(1)...)
+	for id := uint64(1); id <= 4; id++ {
+		r.step(r.request(id, 1))
+		if id == 4 {
+			r.want(ActionSend, 0)
+			return
+		}
+		r.want(ActionSend, 1)
+		r.after(5*ms, outcome(id, 0, "w0", Reset))
+	}
+}
--- a/internal/platform/attempt.go
+++ b/internal/platform/attempt.go
@@ -5,9 +5,11 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
+	"os"
 	"time"
 
 	"github.com/vatu-meals/foxlift"
@@ -60,13 +62,14 @@
 // exchange writes the job and reads the node's answer. reusable says that the
 // connection is at the start of a new request.
 func (a *attempt) exchange(conn *nodeConn) (r core.Report, reusable bool) {
-	head := a.request()
-	if n, err := conn.Write(head); err != nil {
-		if n < len(head) {
-			return ended(foxlift.Unreachable), false // a node starts on the last byte
-		}
-		return ended(foxlift.Reset), false
+	if code := conn.deliver(a.request()); code != foxlift.Served {
+		return ended(code), false
 	}
+	return a.receive(conn)
+}
+
+// receive reads the node's answer.
+func (a *attempt) receive(conn *nodeConn) (r core.Report, reusable bool) {
 	m := conn.buf.message(maxResponse)
 	defer m.end()
 	resp, err := m.response()
@@ -81,6 +84,40 @@
 	return r, err == nil && !resp.Close && m.Buffered() == 0
 }
 
+// deliver writes a request. A node starts on a request's last byte, so that one is
+// held back until the other side has had the time to refuse the rest: a connection
+// that the node has dropped, or drops now, answers the first bytes with a reset, and
+// where the last byte was not written the job never ran.
+func (c *nodeConn) deliver(request []byte) foxlift.Code {
+	last := len(request) - 1
+	if _, err := c.Write(request[:last]); err != nil {
+		return c.broken()
+	}
+	c.SetReadDeadline(time.Now().Add(refusalTime))
+	if err := c.buf.fill(); !errors.Is(err, os.ErrDeadlineExceeded) {
+		return c.broken() // an answer to half a request is of no use either
+	}
+	c.SetReadDeadline(time.Time{})
+	if n, err := c.Write(request[last:]); n == 0 {
+		return c.broken()
+	} else if err != nil {
+		return foxlift.Reset
+	}
+	return foxlift.Served
+}
+
+// broken says what a connection that breaks before a request's last byte tells: that
+// the node cannot be reached, or, if it was kept from an earlier request, nothing.
+func (c *nodeConn) broken() foxlift.Code {
+	if c.since.IsZero() {
+		return foxlift.Unreachable
+	}
+	return foxlift.NotSent
+}
+
+// refusalTime is how long a request's last byte is held back: some round trips.
+const refusalTime = 3 * time.Millisecond
+
 // request writes the job as the node reads it.
 func (a *attempt) request() []byte {
 	p := a.job.Payload.(*payload)
--- a/internal/platform/rules_test.go
+++ b/internal/platform/rules_test.go
@@ -792,3 +792,34 @@
 	m.end()
 	check(t, "left", b.buffered(), 0)
 }
+
+// A node starts on a request's last byte. A kept connection that it drops as the
+// next request comes proves that the job never ran, and nothing against the node.
+func TestResetBeforeTheLastByte(t *testing.T) {
+	served := 0
+	l := listen(t)
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			br := bufio.NewReader(c)
+			if r, err := http.ReadRequest(br); err == nil { // an empty body: read whole
+				served++
+				done(c, r, r.Header.Get(headerID))
+			}
+			br.ReadByte() // of the next request
+			c.(*net.TCPConn).SetLinger(0)
+			c.Close()
+		}
+	}()
+	p, set := start(t, "", &toyNode{Listener: l})
+	s := connect(t, p)
+	for i, remaining := range []string{"19000m", "300m", "19000m", "300m"} {
+		r, _ := s.ask(t, jobText("ratify", fmt.Sprint("j", i), remaining, ""))
+		check(t, "status", r.StatusCode, 200+(i%2)*303) // no other node to go to
+	}
+	check(t, "not sent", set.Get("claims.not_sent"), int64(2))
+	check(t, "served", served, 2)
+}
