--- a/dispatcher_test.go
+++ b/dispatcher_test.go
@@ -1047,7 +1047,7 @@
 	r.step(next(101, 1980*ms))
 	r.want(ActionRefuse, 0) // it may still be in time
 	hold := r.d.holdLimit(r.d.jobs[101])
-	for r.after(20*ms); r.d.jobs[101] != nil; r.after(10 * ms) {
+	for r.after(20 * ms); r.d.jobs[101] != nil; r.after(10 * ms) {
 		if r.now-5*second > hold+40*ms {
 			t.Fatal("held past its time")
 		}
