--- a/dispatcher.go
+++ b/dispatcher.go
@@ -836,10 +836,14 @@
 
 // ---- Late binding ----
 
-const sampled = 12 // workers looked at for one job, of those with the fewest
+const (
+	sampled      = 24   // workers looked at for one job, of those with as many
+	crossingJobs = 40.0 // of our jobs, that a crossing at the price of a whole job weighs
+)
 
 // pick finds the worker for a job: of those with room, the one with the fewest
-// of our jobs, ties going to the one that promises most. It is nil if none may.
+// of our jobs, a crossing of zones counting as some more, and ties going to the
+// one that promises most. It is nil if none may.
 func (d *Dispatcher) pick(j *job) *worker {
 	var best *worker
 	bestCost := math.Inf(1)
@@ -851,7 +855,7 @@
 			best, bestCost = w, c
 		}
 	}
-	for l := 0; l < d.levels && best == nil; l++ {
+	for l := 0; l < d.levels && float64(l) < bestCost; l++ {
 		n := 0
 		for k := range d.room {
 			n += len(d.at(j, k, l))
@@ -859,7 +863,7 @@
 		if n <= sampled || j.mayRan != nil {
 			for k := range d.room {
 				for _, w := range d.at(j, k, l) {
-					try(w, 0)
+					try(w, float64(l))
 				}
 			}
 			continue
@@ -869,7 +873,7 @@
 			for k := range d.room {
 				ws := d.at(j, k, l)
 				if i < len(ws) {
-					try(ws[i], 0)
+					try(ws[i], float64(l))
 					break
 				}
 				i -= len(ws)
@@ -877,11 +881,11 @@
 		}
 		for _, w := range d.fresh {
 			if w != nil && w.level == l && (j.class.Kind < 0 || w.kind == j.class.Kind) {
-				try(w, 0)
+				try(w, float64(l))
 			}
 		}
 		if best != nil && j.req.Key != 0 && d.cfg.Prices.Fetch > 0 {
-			d.tryHomes(j, try)
+			d.tryHomes(j, func(w *worker, extra float64) { try(w, float64(w.level)+extra) })
 		}
 	}
 	return best
@@ -936,20 +940,20 @@
 }
 
 // cost rates a worker among equals: the share of a job's worth that is likely
-// lost there. The prices are the settings'.
+// lost there, and the jobs that a crossing stands for. The prices are the settings'.
 func (d *Dispatcher) cost(j *job, w *worker) float64 {
 	c := d.pressure(w, j.req.Slots) / 2
 	if c >= 0.45 {
 		c = 1
 	}
 	if w.zone != d.cfg.Zone {
-		c += d.cfg.Prices.CrossZone
+		c += crossingJobs * d.cfg.Prices.CrossZone
 	}
 	if w.jobs >= w.conns || d.cfg.ConnIdle > 0 && d.now-w.idleAt > d.cfg.ConnIdle {
 		c += 3 * d.cfg.Prices.Handshake
 	}
 	if w.slow > 0 {
-		c += (w.slow - 1) / 8
+		c += (w.slow - 1) / 3
 	}
 	return c
 }
--- a/dispatcher_test.go
+++ b/dispatcher_test.go
@@ -1067,3 +1067,20 @@
 		r.after(5*ms, outcome(id, 0, "w0", Reset))
 	}
 }
+
+// Jobs stay in their zone until a worker of another has four fewer of ours.
+func TestCrossingCountsAsJobs(t *testing.T) {
+	cfg := testConfig()
+	cfg.Prices.CrossZone = 0.1
+	r := newRig(t, cfg, fleet(2)...) // w0 in this zone
+	for _, w := range r.d.list {
+		w.cap = 9
+	}
+	got := map[string]int{}
+	for id := uint64(1); id <= 6; id++ {
+		got[r.step(r.request(id, 0))[0].Worker]++
+	}
+	if got["w0"] != 5 || got["w1"] != 1 {
+		t.Errorf("jobs by worker: %v", got)
+	}
+}
