--- a/dispatcher.go
+++ b/dispatcher.go
@@ -839,11 +839,12 @@
 const (
 	sampled      = 24   // workers looked at for one job, of those with as many
 	crossingJobs = 40.0 // of our jobs, that a crossing at the price of a whole job weighs
+	fetchJobs    = 2.0  // that a worker's fetch of what a job needs weighs: it holds a slot meanwhile
 )
 
 // pick finds the worker for a job: of those with room, the one with the fewest
-// of our jobs, a crossing of zones counting as some more, and ties going to the
-// one that promises most. It is nil if none may.
+// of our jobs, a crossing of zones and a fetch counting as some more, and ties
+// going to the one that promises most. It is nil if none may.
 func (d *Dispatcher) pick(j *job) *worker {
 	var best *worker
 	bestCost := math.Inf(1)
@@ -940,7 +941,7 @@
 }
 
 // cost rates a worker among equals: the share of a job's worth that is likely
-// lost there, and the jobs that a crossing stands for. The prices are the settings'.
+// lost there, and the jobs that a crossing or a fetch stands for.
 func (d *Dispatcher) cost(j *job, w *worker) float64 {
 	c := d.pressure(w, j.req.Slots) / 2
 	if c >= 0.45 {
@@ -952,8 +953,9 @@
 	if w.jobs >= w.conns || d.cfg.ConnIdle > 0 && d.now-w.idleAt > d.cfg.ConnIdle {
 		c += 3 * d.cfg.Prices.Handshake
 	}
-	if w.slow > 0 {
-		c += (w.slow - 1) / 3
+	c += (w.slow - 1) / 3
+	if j.req.Key != 0 && !w.holds(j.req.Key) {
+		c += fetchJobs
 	}
 	return c
 }
@@ -996,6 +998,7 @@
 	w.since += a.slots
 	w.conns = max(w.conns, w.jobs)
 	w.idleAt = d.now
+	w.keep(a.job.req.Key)
 	d.inflight += a.slots
 	if d.young(w) {
 		w.coldAt = d.now + d.coldGap(w, a.slots)
@@ -1064,7 +1067,7 @@
 		if !a.late {
 			j.class.sample(float64(d.now-j.came) / float64(j.wanted))
 		}
-		w.slow += (min(float64(run)/float64(max(1, j.class.median)), 4) - max(w.slow, 0.01)) / 16
+		w.slow += (min(float64(run)/float64(max(1, j.class.median)), 4) - w.slow) / 16
 		w.failing *= 0.8
 		if !d.young(w) {
 			d.served += a.slots // not what was sent: refused jobs are no measure of capacity
@@ -1260,7 +1263,7 @@
 // send to a young worker is put off at random, or all would send at once.
 func (d *Dispatcher) restarted(w *worker, at int64) {
 	w.up, w.shut, w.backoff, w.trial, w.failing, w.slow = at, 0, 0, false, 0, 0
-	w.loaded, w.conns, w.since = false, 0, 0
+	w.loaded, w.conns, w.since, w.keys = false, 0, 0, nil
 	w.cap, w.capped = d.meanCap(), false
 	if d.young(w) {
 		w.coldAt = d.now + int64(d.rng.Float64()*float64(d.coldGap(w, 1)))
--- a/dispatcher_test.go
+++ b/dispatcher_test.go
@@ -1084,3 +1084,37 @@
 		t.Errorf("jobs by worker: %v", got)
 	}
 }
+
+// A job goes where its key was lately, unless others have far fewer of our jobs.
+func TestJobsFollowTheirKeys(t *testing.T) {
+	r := newRig(t, testConfig(), fleet(3)...)
+	ask := func(id, key uint64) string {
+		e := r.request(id, 0)
+		e.Request.Key = key
+		return r.step(e)[0].Worker
+	}
+	home := ask(1, 7)
+	if other, next := ask(2, 8), ask(3, 7); other == home || next != home {
+		t.Errorf("key 7 goes to %s, 8 to %s, 7 to %s", home, other, next)
+	}
+	again := 0
+	for id := uint64(4); id <= 7; id++ {
+		if ask(id, 7) == home {
+			again++
+		}
+	}
+	if again > 2 {
+		t.Errorf("%d of 4 more pile up at home", again)
+	}
+	w := r.d.workers[home]
+	for key := uint64(20); key < 20+keptKeys; key++ {
+		w.keep(key)
+	}
+	if w.holds(7) || !w.holds(20) || len(w.keys) != keptKeys {
+		t.Errorf("keys kept: %v", w.keys)
+	}
+	r.d.restarted(w, 1)
+	if w.holds(20) {
+		t.Error("a new process holds what the former one had")
+	}
+}
--- a/state.go
+++ b/state.go
@@ -91,8 +91,27 @@
 	loaded     bool
 	since      float64 // slots sent since the load report
 	loadAt     int64
-	conns      int   // connections thought open
-	idleAt     int64 // last use of a connection
+	conns      int      // connections thought open
+	idleAt     int64    // last use of a connection
+	keys       []uint64 // of our last jobs there, the newest first
+}
+
+const keptKeys = 5 // on more than these a worker has mostly given up the first
+
+// holds reports whether a worker is likely to have what jobs with a key need.
+func (w *worker) holds(key uint64) bool { return slices.Contains(w.keys, key) }
+
+// keep notes that a job with a key goes to a worker.
+func (w *worker) keep(key uint64) {
+	if key == 0 {
+		return
+	}
+	if i := slices.Index(w.keys, key); i >= 0 {
+		w.keys = slices.Delete(w.keys, i, i+1)
+	} else if len(w.keys) == keptKeys {
+		w.keys = w.keys[:keptKeys-1]
+	}
+	w.keys = slices.Insert(w.keys, 0, key)
 }
 
 // mean follows an average and the mean deviation from it.
