Let floods of connections make way at once and in batches

At fault: front.awaitRoom and makeRoomLocked ended a handful of connections, each with 100 ms of grace, for every accept: about 110 a second, with the usual submitters in the kernel's queue behind the flood.

Now what never brought a job goes without grace once it is 50 ms old, in batches of an eighth of the budget; then what brought one job and stayed; a usual submitter's connection only when none of the flood is left to go. Health 503s, memory and CPU were ruled out (7 MB, 0.06 s in the worst second).

--- a/internal/platform/front.go
+++ b/internal/platform/front.go
@@ -57,7 +57,9 @@
 	headroom      = 16 // the part of the budget in which idle connections make way
 	jobsSpare     = 8  // the part of it that no waiting job holds
 	graceTime     = 100 * time.Millisecond
-	slowTime      = 250 * time.Millisecond // a usual submitter has sent its first request by then
+	newTime       = 50 * time.Millisecond  // a usual submitter's first request has begun by then,
+	slowTime      = 250 * time.Millisecond // and has come whole by then
+	roomBatch     = 8                      // the part of the budget that makes way at a time
 	acceptPause   = 5 * time.Millisecond   // after a failed accept, doubled each time
 	acceptPauseUp = 500 * time.Millisecond
 )
@@ -114,7 +116,7 @@
 		if len(f.all) < f.budget {
 			break
 		}
-		look := time.AfterFunc(slowTime, f.freed.Broadcast) // some have become slow by then
+		look := time.AfterFunc(newTime, f.freed.Broadcast) // some are no longer new by then
 		f.freed.Wait()
 		look.Stop()
 	}
@@ -130,14 +132,17 @@
 	f.makeRoomLocked(n)
 }
 
-// makeRoomLocked ends n connections; those that are about to end already count.
-// The first to go are those that never brought a job and are silent, then those
-// that are slow about their first, so that a flood of them does not cost other
-// submitters their connections; last the longest idle.
+// makeRoomLocked ends n connections and, where n is over 0, some more: whoever waits
+// behind a flood must not wait for one end after the other. Those that are about to
+// end already count. The first to go are those that never brought a job and are
+// silent, then those that are slow about their first, then those that brought one
+// and stayed, so that a flood of them does not cost other submitters their
+// connections; last the longest idle.
 func (f *front) makeRoomLocked(n int) {
 	if n <= 0 {
 		return
 	}
+	n += f.budget / roomBatch
 	end := func(s *submitter, which bool) {
 		if which && n > 0 {
 			n--
@@ -145,16 +150,24 @@
 		}
 	}
 	for _, s := range f.idle {
-		end(s, !s.proven)
+		end(s, s.jobs == 0 && time.Since(s.began) > newTime)
 	}
 	for s := range f.all {
-		if !s.proven && !s.awaiting && time.Since(s.began) > slowTime {
+		if s.jobs == 0 && !s.awaiting && time.Since(s.began) > slowTime {
 			end(s, true)
 			s.conn.SetReadDeadline(wakeUp)
 		}
 	}
 	for _, s := range f.idle {
-		end(s, s.proven)
+		end(s, s.jobs == 1)
+	}
+	for s := range f.all {
+		if s.jobs == 0 && !s.retire.Load() {
+			n-- // it brings a job or goes before long
+		}
+	}
+	for _, s := range f.idle {
+		end(s, s.jobs > 1)
 	}
 }
 
@@ -177,7 +190,7 @@
 	if len(f.all) >= f.budget {
 		f.freed.Broadcast()
 	}
-	return s.proven
+	return s.jobs > 0
 }
 
 // awaited notes that a connection's next request has begun, or never will.
@@ -194,14 +207,14 @@
 func (f *front) prove(s *submitter) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	s.proven = true
+	s.jobs++
 }
 
 // readUntil is when a request that now begins must have come to its end.
 func (f *front) readUntil(s *submitter) time.Time {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if s.proven {
+	if s.jobs > 0 {
 		return time.Now().Add(readLimit)
 	}
 	return s.began.Add(readLimit)
--- a/internal/platform/rules_test.go
+++ b/internal/platform/rules_test.go
@@ -406,12 +406,16 @@
 	go f.accept()
 	q := &Platform{front: f}
 	usual := connect(t, q)
-	usual.ask(t, jobText("reading", "j0", "9000m", ""))
+	usual.ask(t, jobText("reading", "u0", "9000m", ""))
+	usual.ask(t, jobText("reading", "u1", "9000m", ""))
 	var flood []*toySubmitter
 	for i := range 60 {
 		s := connect(t, q)
-		if i%2 == 0 {
+		switch i % 3 {
+		case 0:
 			s.send(t, "POST /reading HTTP/1.1\r\n")
+		case 1: // asks once and stays
+			s.send(t, jobText("reading", fmt.Sprint("f", i), "9000m", ""))
 		}
 		flood = append(flood, s)
 	}
--- a/internal/platform/submitter.go
+++ b/internal/platform/submitter.go
@@ -39,7 +39,7 @@
 
 	// Guarded by front.mu.
 	awaiting bool // the next request has not begun
-	proven   bool // it has brought a job
+	jobs     int  // that it has brought, and calls for the health
 }
 
 // A waiting is the submitter's wait for the answer to one job.
@@ -81,6 +81,9 @@
 		if s.buf.buffered() > 0 {
 			return true
 		}
+		if s.retire.Load() && !proven && !s.front.closing.Load() {
+			return s.buf.fillNow() && s.buf.buffered() > 0 // nothing of it is taken yet
+		}
 		if s.retire.Load() {
 			// A request may be on its way that was sent before the submitter could
 			// know of the end: it must not be lost unread.
