Go on serving kept connections for 2.3 s after SIGTERM; refuse what cannot end in time

At 3.7 s what is left is reset: the kill.

Now connections that are there stay until 2.3 s. From 0.45 s on a job whose aim reaches past 3.3 s is refused with Retry-After, and any other has its answer by then (core: End, admit, takein), so that a kill loses none.

--- a/internal/core/admit.go
+++ b/internal/core/admit.go
@@ -17,6 +17,12 @@
 		c.answer(j, Answer{Verdict: Refused, RetryAfter: fullRetry})
 		return
 	}
+	if class := &c.settings.Module.Classes[class]; c.endBy > 0 && c.clock.Now()+class.Aim > c.endBy {
+		// It would hardly be done before the end: another scheduler has more time.
+		c.counters.Add("jobs.at_end")
+		c.answer(j, Answer{Verdict: Refused, RetryAfter: time.Duration(c.settings.Module.MaxRetryAfter)})
+		return
+	}
 	c.news = append(c.news, foxlift.Event{Kind: foxlift.EventRequest, Request: foxlift.Request{
 		ID: j.number, Class: class, Tenant: tenant, Deadline: j.deadline, Key: j.Key,
 		Slots: j.Slots, Memory: j.Memory, Repeat: j.Repeat,
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -70,6 +70,7 @@
 	recent   map[string]bool // ids answered not long ago
 	longest  int64           // the longest deadline of any class
 	most     int             // jobs that may be open
+	endBy    int64           // when what comes now must be answered; 0: no end is near
 	numbered uint64
 	news     []foxlift.Event // for the module's next step
 	states   map[string]foxlift.WorkerState
@@ -148,6 +149,13 @@
 // Left says that a job's submitter has gone away. The answer still comes.
 func (c *Core) Left(j *Job) { c.post(submitterLeft{j}) }
 
+// End says that the scheduler ends, and how long it has for what still comes in.
+func (c *Core) End(left time.Duration) { c.post(ending{c.clock.Now() + int64(left)}) }
+
+type ending struct{ by int64 }
+
+func (e ending) apply(c *Core) { c.endBy = e.by }
+
 // Machines brings news of the machine list.
 func (c *Core) Machines(kind foxlift.ListKind, entries []foxlift.Worker) {
 	c.post(machinesTold{kind, entries})
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -174,3 +174,25 @@
 		t.Error("it went back")
 	}
 }
+
+// Near the end a job that would hardly be done is refused at once, and one that is
+// taken has its answer before a kill could lose it.
+func TestNearTheEnd(t *testing.T) {
+	r := newRig(t)
+	r.do(ending{r.clock.Now() + int64(600*time.Millisecond)})
+	first := r.take("first", "reading", "t")
+	if len(first.got) != 0 || len(r.sent) != 1 {
+		t.Fatalf("%+v, %d claims; want it sent", first.got, len(r.sent))
+	}
+	r.do(ending{r.clock.Now() + int64(400*time.Millisecond)})
+	late := r.take("late", "reading", "t")
+	if len(late.got) != 1 || late.got[0].Verdict != Refused || late.got[0].RetryAfter == 0 || r.counters.Get("jobs.at_end") != 1 {
+		t.Errorf("too late: %+v", late.got)
+	}
+	for len(first.got) == 0 {
+		r.do(<-r.inbox)
+	}
+	if first.got[0].Verdict != Failed || r.counters.Get("jobs.overdue") != 1 { // long before its deadline
+		t.Errorf("at the end: %+v", first.got)
+	}
+}
--- a/internal/core/takein.go
+++ b/internal/core/takein.go
@@ -25,7 +25,11 @@
 	// The module answers every job in time. Should it ever not, the submitter
 	// still gets an answer: a little later than the end of the last claim, which
 	// the module must hear of first.
-	j.overdue = c.after(j.deadline+int64(overdueAfter)-c.clock.Now(), jobOverdue{j})
+	end := j.deadline + int64(overdueAfter)
+	if c.endBy > 0 {
+		end = min(end, c.endBy) // whoever is killed then has lost no job
+	}
+	j.overdue = c.after(end-c.clock.Now(), jobOverdue{j})
 	c.admit(j, class, tenant)
 }
 
--- a/internal/platform/front.go
+++ b/internal/platform/front.go
@@ -27,8 +27,9 @@
 	listener listener
 	budget   int
 	grace    time.Duration // for a request that crosses the end of an idle connection
-	ending   atomic.Bool   // health is 503 and answers end their connections
+	ending   atomic.Bool   // health is 503
 	closing  atomic.Bool   // no more is accepted than waits already
+	leaving  atomic.Bool   // answers end their connections
 	accepted chan struct{} // closed when accept has returned
 
 	mu    sync.Mutex
@@ -92,7 +93,7 @@
 
 func (f *front) begin(conn net.Conn) {
 	s := &submitter{front: f, conn: conn, buf: buffer{conn: conn}, began: time.Now()}
-	s.retire.Store(f.closing.Load())
+	s.retire.Store(f.leaving.Load())
 	f.mu.Lock()
 	f.all[s] = struct{}{}
 	f.mu.Unlock()
@@ -220,9 +221,12 @@
 	return s.began.Add(readLimit)
 }
 
-// shutDown ends the front: for a while it takes what comes in, then it closes
-// the listener and the idle connections, and returns when all are answered.
-func (f *front) shutDown(moments time.Duration) {
+// shutDown ends the front: for some moments it takes what comes in, then it closes
+// the listener. The connections that are there stay for a while more, since their
+// submitters have nowhere else to go until the end is noticed. Then the idle ones
+// are closed, and it returns when all are answered.
+func (f *front) shutDown(moments, stay time.Duration) {
+	left := time.After(stay)
 	f.ending.Store(true)
 	<-time.After(moments)
 	f.mu.Lock()
@@ -232,8 +236,10 @@
 	f.mu.Unlock()
 	<-f.accepted // what the kernel has accepted counts as taken: it is served too
 	f.listener.Close()
+	<-left
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.leaving.Store(true)
 	for s := range f.all {
 		f.retireLocked(s)
 	}
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -23,6 +23,13 @@
 // before 0.7 s are over, their grace included.
 const moments = 450 * time.Millisecond
 
+// A scheduler may be killed 3.7 s after it was told to end. Until then it has answered
+// what came more than 0.7 s after that: what cannot be done by endTime is refused.
+const (
+	stayTime = 2300 * time.Millisecond // that the submitters' connections stay
+	endTime  = 3300 * time.Millisecond
+)
+
 // A Platform is a scheduler's side of the platform's protocol.
 type Platform struct {
 	front    *front
@@ -67,10 +74,13 @@
 // Addr returns the address on which submitters are served.
 func (p *Platform) Addr() net.Addr { return p.front.listener.Addr() }
 
-// ShutDown makes the health 503, goes on taking what comes in for some moments,
-// closes the listener and the idle connections, and returns when everything
-// taken is answered.
+// ShutDown makes the health 503, goes on taking what comes in for some moments and
+// closes the listener. On the connections that are there it goes on for longer with
+// jobs that end soon. It returns when everything taken is answered.
 func (p *Platform) ShutDown() {
-	p.front.shutDown(moments)
+	// What comes in the first moments is no loss whatever becomes of it.
+	first := time.AfterFunc(moments, func() { p.core.End(endTime - moments) })
+	defer first.Stop()
+	p.front.shutDown(moments, stayTime)
 	p.core.Stop()
 }
--- a/internal/platform/submitter.go
+++ b/internal/platform/submitter.go
@@ -81,7 +81,7 @@
 		if s.buf.buffered() > 0 {
 			return true
 		}
-		if s.retire.Load() && !proven && !s.front.closing.Load() {
+		if s.retire.Load() && !proven && !s.front.leaving.Load() {
 			return s.buf.fillNow() && s.buf.buffered() > 0 // nothing of it is taken yet
 		}
 		if s.retire.Load() {
@@ -244,7 +244,7 @@
 
 // write writes a reply and returns whether the connection may go on.
 func (s *submitter) write(r reply, ends bool) bool {
-	ends = ends || s.retire.Load() || s.front.ending.Load()
+	ends = ends || s.retire.Load() || s.front.leaving.Load()
 	b := fmt.Appendf(make([]byte, 0, 160+len(r.body)), "HTTP/1.1 %d %s\r\nContent-Length: %d\r\n",
 		r.status, http.StatusText(r.status), len(r.body))
 	if r.retryAfter > 0 {
