Let a module take jobs, shares and counts from another of its host

Need: with a module for each cell a tenant's jobs and its share pass from one module to another, and a node does with claims still out.

Change: a request brings its age and the attempts made before (Waited, Tried) and may be confined to some workers (Among); a worker's entry tells what others hold there (Others); EventQuotas brings other shares. A confined job that finds no worker no longer blocks its class.

Found on the way: a module whose first list was empty kept its window at 0 and sent nothing past the bands, which is why a lone tenant over its share was refused on an idle fleet; the window now opens with the first list.

Ruled out: one module with placement bound by cell, see docs/design/cells.md.

--- a/api.go
+++ b/api.go
@@ -127,6 +127,24 @@
 	Prices        Prices
 }
 
+// quotaBand is the band made of the tenants' quotas.
+func quotaBand(quotas []float64) []Band {
+	b := Band{Ratio: quotas}
+	for _, q := range quotas {
+		b.Width += q
+	}
+	return []Band{b}
+}
+
+// quotas returns the tenants' quotas, in order.
+func (c *Config) quotas() []float64 {
+	q := make([]float64, len(c.Tenants))
+	for i, t := range c.Tenants {
+		q[i] = t.Quota
+	}
+	return q
+}
+
 // check reports the first field that makes c impossible to run.
 func (c *Config) check() error {
 	if len(c.Classes) == 0 {
@@ -194,7 +212,8 @@
 	Kind    int // -1 if unknown
 	Cell    int
 	State   WorkerState
-	Started int64 // when it last started; 0 means long ago
+	Started int64   // when it last started; 0 means long ago
+	Others  float64 // slots of jobs there that the host sent past this dispatcher and that are still out
 }
 
 // A ListKind says how a list event is to be read.
@@ -217,7 +236,10 @@
 	Size     int64   // a guess of its work; 0 if there is none
 	Slots    float64 // slots it needs; 0 counts as 1
 	Memory   float64
-	Repeat   bool // the client says that it tried before
+	Repeat   bool     // the client says that it tried before
+	Waited   int64    // how long it has waited with another dispatcher of the host
+	Tried    int      // attempts that another made: none may have run, unless the class is Idempotent
+	Among    []string // the only workers that it may go to; nil: any
 }
 
 // A Code says how an attempt or a probe ended.
@@ -250,6 +272,7 @@
 	EventTimer                       // Token
 	EventProbed                      // Worker, Code, Took, Load
 	EventMessage                     // From, Data
+	EventQuotas                      // Quotas: the tenants' shares have changed
 )
 
 // An Event is something that the dispatcher learns of.
@@ -270,6 +293,7 @@
 	Workers []Worker
 	From    int
 	Data    []byte
+	Quotas  []float64 // one for each tenant
 }
 
 // An ActionKind says which fields of an Action hold.
--- a/dispatcher.go
+++ b/dispatcher.go
@@ -138,6 +138,8 @@
 		d.onProbed(e)
 	case EventMessage:
 		d.onMessage(e.From, e.Data)
+	case EventQuotas:
+		d.onQuotas(e.Quotas)
 	}
 }
 
@@ -164,7 +166,7 @@
 		return // the host broke the contract: there is nothing sensible to do
 	}
 	c := &d.classes[r.Class]
-	j := &job{id: r.ID, class: c, tenant: d.tenantOf(r.Tenant), req: *r, came: d.now}
+	j := &job{id: r.ID, class: c, tenant: d.tenantOf(r.Tenant), req: *r, came: d.now - r.Waited}
 	if j.req.Slots <= 0 {
 		j.req.Slots = 1
 	}
@@ -176,7 +178,7 @@
 	// A client's next try brings what is left of its patience: the job is as old as
 	// the first. In time counts from there, and what comes too late for that is
 	// worth nothing: where work is short it must not take the place of the rest.
-	c.patience = max(c.patience, r.Deadline-d.now)
+	c.patience = max(c.patience, r.Deadline-j.came)
 	j.born = r.Deadline - c.patience
 	d.jobs[r.ID] = j
 	d.arrived++
@@ -212,7 +214,7 @@
 	if j.ended || j.stream || d.now >= j.req.Deadline || w.state != Live {
 		return false
 	}
-	if d.cfg.MaxAttempts > 0 && len(j.attempts) >= d.cfg.MaxAttempts {
+	if d.cfg.MaxAttempts > 0 && j.req.Tried+len(j.attempts) >= d.cfg.MaxAttempts {
 		return false
 	}
 	if j.out > 0 && !d.cfg.MayCopy {
@@ -344,7 +346,7 @@
 	if j.out > 0 {
 		return // another attempt may still serve it
 	}
-	spent := d.cfg.MaxAttempts > 0 && len(j.attempts) >= d.cfg.MaxAttempts
+	spent := d.cfg.MaxAttempts > 0 && j.req.Tried+len(j.attempts) >= d.cfg.MaxAttempts
 	closed := j.class.Effect == AtMostOnce && j.mayRan != nil
 	if spent || closed || d.now+d.tick >= j.req.Deadline {
 		d.giveUp(j, 0)
@@ -566,14 +568,8 @@
 		d.tenants[i].queues = make([][]*job, len(d.classes))
 		d.tenants[i].classes = make([]flow, len(d.classes))
 	}
-	d.bands = d.cfg.Bands
-	if len(d.bands) == 0 && len(d.cfg.Tenants) > 0 {
-		b := Band{}
-		for _, t := range d.cfg.Tenants {
-			b.Width += t.Quota
-			b.Ratio = append(b.Ratio, t.Quota)
-		}
-		d.bands = []Band{b}
+	if d.bands = d.cfg.Bands; len(d.bands) == 0 && len(d.cfg.Tenants) > 0 {
+		d.bands = quotaBand(d.cfg.quotas())
 	}
 	d.refillRates()
 	for i := range d.tenants {
@@ -785,9 +781,9 @@
 			if len(q) == 0 || t.classes[k].blocked == d.round {
 				continue
 			}
-			j := q[0]
-			if t.over() {
-				j = q[len(q)-1]
+			j := t.next(q, d.round)
+			if j == nil {
+				continue
 			}
 			if n := t.urgency(d, j); n > most {
 				best, most = j, n
@@ -803,7 +799,9 @@
 			d.send(best, w)
 			return true
 		}
-		c.blocked = d.round
+		if best.blocked = d.round; best.req.Among == nil {
+			c.blocked = d.round
+		} // others of its class may go to other workers
 	}
 }
 
@@ -926,7 +924,7 @@
 
 // fits says whether a worker in the room lists suits this job.
 func (d *Dispatcher) fits(j *job, w *worker) bool {
-	if w.level < 0 || !d.maySend(j, w) {
+	if w.level < 0 || !d.maySend(j, w) || j.req.Among != nil && !slices.Contains(j.req.Among, w.id) {
 		return false
 	}
 	if w.trial && j.class.Effect == AtMostOnce && d.repeatable {
@@ -1230,7 +1228,7 @@
 		}
 	}
 	d.rebuildRing()
-	if kind == ListSaved {
+	if kind == ListSaved || d.window == 0 {
 		d.window = d.meanCap() * float64(len(d.ring)) // nothing is known against it
 	}
 	for _, w := range d.list {
@@ -1251,6 +1249,7 @@
 	d.moveTo(w, -1) // its kind may change
 	w.setState(e.State)
 	w.zone, w.kind, w.cell, w.listed = e.Zone, e.Kind, e.Cell, d.lists
+	w.own, w.others = w.own+e.Others-w.others, e.Others
 	if w.kind+1 >= len(d.room) {
 		w.kind = -1
 	}
--- a/state.go
+++ b/state.go
@@ -22,9 +22,10 @@
 	out           int      // attempts in flight
 	mayRan        *attempt // the first attempt that may have run
 	ended, queued bool
-	asked         int  // workers probed for it
-	again         bool // in resend
-	stream        bool // bound to a stream: no deadline any more
+	asked         int   // workers probed for it
+	again         bool  // in resend
+	stream        bool  // bound to a stream: no deadline any more
+	blocked       int64 // the round of dispatch that found no worker for it
 }
 
 type attempt struct {
@@ -74,7 +75,8 @@
 	up               int64 // when it started; 0: long ago
 	hash             uint64
 
-	own        float64 // slots of our jobs there
+	own        float64 // slots of our jobs there, and of the host's others
+	others     float64 // of these, what others sent
 	jobs       int
 	cap        float64 // most of our slots that it takes without delay
 	capped     bool    // cap was learned from its own answers
@@ -262,11 +264,38 @@
 	j.queued = false
 }
 
+// next returns the oldest job of a queue, or for a tenant over its share the newest,
+// of those that this round has not found without a worker; nil if there is none.
+func (t *tenant) next(q []*job, round int64) *job {
+	for i := range q {
+		j := q[i]
+		if t.over() {
+			j = q[len(q)-1-i]
+		}
+		if j.blocked != round {
+			return j
+		}
+	}
+	return nil
+}
+
 // waiting reports whether the tenant has jobs held.
 func (t *tenant) waiting() bool {
 	return slices.ContainsFunc(t.queues, func(q []*job) bool { return len(q) > 0 })
 }
 
+// onQuotas takes over new shares. Tokens stay as they are: nobody gains by a change.
+func (d *Dispatcher) onQuotas(quotas []float64) {
+	if len(quotas) != len(d.cfg.Tenants) {
+		return
+	}
+	d.bands = quotaBand(quotas)
+	full, _ := split(math.MaxFloat64, d.bands, len(d.tenants))
+	for i := range d.tenants {
+		d.tenants[i].rate = full[i] * max(d.share, 1/float64(d.cfg.Dispatchers))
+	}
+}
+
 // tenantOf finds a tenant; requests of none share one of their own.
 func (d *Dispatcher) tenantOf(i int) *tenant {
 	if i < 0 || i >= len(d.cfg.Tenants) {
