Read the operator's file: S-expressions, all faults at once with their places

Need: cells and the control socket are configured in a file of the operator's own, which must name every fault before a reload, not the first alone.

Change: internal/config parses it with participle and checks it against the platform's settings; an example is in deploy/. In LB_CONFIG, discovery and zone must be words that are known: settings.discovery "127.0.0.1:4000" was accepted and the list then never asked for. The real scheduler now asks for it whatever the word.

Result: a file with 13 faults gets 13 lines, each with line, column and key (TestOperatorFaults).

--- /dev/null
+++ b/internal/config/operator_test.go
@@ -0,0 +1,116 @@
+package config
+
+import (
+	"errors"
+	"os"
+	"strings"
+	"testing"
+)
+
+func exampleSettings(t testing.TB) *Settings {
+	t.Helper()
+	s, err := Load(func(name string) string {
+		if name == "LB_CONFIG" {
+			return "../../examples/config.json"
+		}
+		return ""
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return s.Settings
+}
+
+// The example under deploy/ is sound, and means what it says.
+func TestOperatorExample(t *testing.T) {
+	text, err := os.ReadFile("../../deploy/operator.example.sexp")
+	if err != nil {
+		t.Fatal(err)
+	}
+	op, err := ParseOperator("example", text, exampleSettings(t))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if op.ControlSocket != "/tmp/foxlift-control.sock" || op.Cells.Cells() != 2 || op.Cells.Share(op.Cells.Find("isles")) != 0.25 || op.Cells.KeyJobs() != 16 {
+		t.Errorf("%+v", op)
+	}
+	if path, err := ControlSocket("../../deploy/operator.example.sexp"); err != nil || path != op.ControlSocket {
+		t.Errorf("the socket alone: %q, %v", path, err)
+	}
+	if op, err := ParseOperator("empty", []byte("; nothing\n"), exampleSettings(t)); err != nil || op.Cells != nil || op.ControlSocket != "" {
+		t.Errorf("an empty file: %+v, %v", op, err)
+	}
+}
+
+// Faults name file, line, column and key, and come all at once in the file's order.
+func TestOperatorFaults(t *testing.T) {
+	for name, c := range map[string]struct{ text, want string }{
+		"many at once": {`(foxlift
+  (control (socket relative) (port 9))
+  (cells
+    (default nowhere)
+    (cell a (share 1.5) (tenants islands nobody) (when-unable spill a 0.1))
+    (cell a (jobs -1) (when-unable wait))
+    (kind huge (weight 2))
+    (split islands (cells a))
+    (colour red)))`, `f:2:20: control.socket: "relative" is not an absolute path
+f:2:31: control.port: unknown key; known here: socket
+f:4:6: cells.default: there is no cell "nowhere"
+f:5:20: cells.cell a.share: 1.5 is not a number from 0.001 to 1
+f:5:42: cells.cell a.tenants nobody: the platform has no such tenant
+f:5:69: cells.cell a.when-unable: a cell cannot spill into itself
+f:6:6: cells.cell a: it is there twice
+f:6:19: cells.cell a.jobs: -1 is not a whole number from 1 to 1000000
+f:6:36: cells.cell a.when-unable: wait is not one of: refuse, spill
+f:7:6: cells.kind huge: the platform has no such machine kind
+f:8:6: cells.split islands: it needs two cells or more, and (by key)
+f:8:6: cells.split islands: it has a place already
+f:9:6: cells.colour: unknown key; known here: cell, default, key, kind, split`},
+		"no list":          {`foxlift`, `f:1:1: foxlift stands where a list that begins with a key should`},
+		"not closed":       {"(foxlift\n (cells", `f:2:8: unexpected token "<EOF>" (expected ")")`},
+		"closed too often": {"(foxlift))", `f:1:10: unexpected token ")"`},
+		"open string":      {"(foxlift (control (socket \"/a)))\n", `f:1:27: invalid input text "\"/a)))\n"`},
+		"twice":            {`(foxlift (control (socket "/a")) (control (socket "/b")))`, `f:1:35: control: it is there twice`},
+		"no cells":         {`(foxlift (cells))`, `f:1:11: cells: no cell is given`},
+		"shares":           {`(foxlift (cells (cell a (share 0.9)) (cell b (share 0.2))))`, `f:1:11: cells: the shares add up to 1.1, more than 1`},
+		"not a number":     {`(foxlift (cells (cell a (share NaN))))`, `f:1:32: cells.cell a.share: NaN is not a number from 0.001 to 1`},
+		"two values":       {`(foxlift (cells (cell a (share 0.1 0.2))))`, `f:1:26: cells.cell a.share: 2 values, want one`},
+		"no name":          {`(foxlift (cells (cell)))`, `f:1:18: cells.cell: its name is missing`},
+		"spill alone":      {`(foxlift (cells (cell a (when-unable spill b))))`, `f:1:26: cells.cell a.when-unable: spill needs a cell and the part of its jobs that it may take`},
+		"too deep":         {strings.Repeat("(", 10000), `f: lists more than 32 deep`},
+		"too long":         {strings.Repeat(";", maxOperatorFile+1), `f: over 1048576 bytes`},
+	} {
+		_, err := ParseOperator("f", []byte(c.text), exampleSettings(t))
+		if faults := (Faults)(nil); !errors.As(err, &faults) || err.Error() != c.want {
+			t.Errorf("%s:\n%v\nwant\n%s", name, err, c.want)
+		}
+	}
+}
+
+// Words that choose a way must be known; keys that are not known are passed over.
+func TestSettingsWords(t *testing.T) {
+	text, err := os.ReadFile("../../examples/config.json")
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, c := range []struct{ old, with, want string }{
+		{`"discovery": "subscribe"`, `"discovery": "127.0.0.1:4000"`, "settings.discovery: "},
+		{`"zone": "stirling"`, `"zone": "perth"`, "settings.zone: "},
+		{`"discovery": "subscribe"`, `"discovery": "automatic", "colour": "red"`, ""},
+	} {
+		if !strings.Contains(string(text), c.old) {
+			t.Fatalf("%s is not in the example", c.old)
+		}
+		path := t.TempDir() + "/config.json"
+		if err := os.WriteFile(path, []byte(strings.Replace(string(text), c.old, c.with, 1)), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		s, err := Load(func(name string) string { return map[string]string{"LB_CONFIG": path}[name] })
+		switch {
+		case c.want != "" && (err == nil || !strings.HasPrefix(err.Error(), c.want)):
+			t.Errorf("%s: %v", c.with, err)
+		case c.want == "" && (err != nil || !s.Settings.Module.ListOnRequest):
+			t.Errorf("%s: %v, or the list is never asked for", c.with, err)
+		}
+	}
+}
--- a/internal/config/settings.go
+++ b/internal/config/settings.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"hash/fnv"
 	"math"
+	"slices"
 	"strings"
 
 	"github.com/vatu-meals/foxlift"
@@ -24,6 +25,8 @@
 	ConnectTimeout int64    // nanoseconds; 0 means not given
 	MaxOpen        int      // jobs held at once; 0 means no limit
 	Progress       int64    // nanoseconds between progress notes; 0 means none
+	Discovery      string   // one of discoveries, or ""
+	Zone           string   // of this scheduler
 }
 
 // settingsFile is the settings as they stand in JSON. Times are nanoseconds.
@@ -100,6 +103,10 @@
 	"cell": foxlift.ScopeCell,
 }
 
+// The ways in which the list of workers is to be had in the simulator: told unasked,
+// or asked for. On sockets it is always asked for.
+var discoveries = []string{"automatic", "subscribe"}
+
 var gauges = map[string]foxlift.Gauge{
 	"outstanding": foxlift.GaugeHeld, "backlog": foxlift.GaugeQueue,
 	"utilization": foxlift.GaugeBusy, "recent_ms": foxlift.GaugeLatency,
@@ -143,6 +150,7 @@
 		Classes: map[string]int{}, Tenants: map[string]int{},
 		Zones: index(f.Zones), Kinds: index(f.Kinds),
 		GaugeNames: f.Report.Names, ConnectTimeout: b.ConnectTimeout, MaxOpen: b.MaxOpen, Progress: f.Info.Progress,
+		Discovery: f.Discovery, Zone: f.Zone,
 	}
 	c := &s.Module
 	if z, ok := s.Zones[f.Zone]; ok {
@@ -215,6 +223,16 @@
 	return -1
 }
 
+// NameOf looks a number up in one of the tables; "" if it is not there.
+func NameOf(table map[string]int, i int) string {
+	for name, n := range table {
+		if n == i {
+			return name
+		}
+	}
+	return ""
+}
+
 // ParseKey reads the subject of a job; 0 means none. One that is not 16 hex
 // digits is folded into a number.
 func ParseKey(s []byte) uint64 {
@@ -254,7 +272,12 @@
 		return errors.New("grades: none given")
 	case c.Index < 0 || c.Index >= c.Dispatchers:
 		return errors.New("slotNo: not under balancers")
+	case s.Discovery != "" && !slices.Contains(discoveries, s.Discovery):
+		return fmt.Errorf("discovery: %q is not one of %s", s.Discovery, strings.Join(discoveries, ", "))
+	case s.Zone != "" && len(s.Zones) > 0 && c.Zone < 0:
+		return fmt.Errorf("zone: %q is not one of dcs", s.Zone)
 	}
+	c.ListOnRequest = true // the protocol has no other way, whatever the simulator's has
 	for i, k := range c.Classes {
 		switch {
 		case k.Name == "":
--- /dev/null
+++ b/internal/config/sexp.go
@@ -0,0 +1,264 @@
+package config
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+	"strconv"
+	"strings"
+
+	"github.com/alecthomas/participle/v2"
+	"github.com/alecthomas/participle/v2/lexer"
+)
+
+// The operator's file is S-expressions: lists in parentheses, each begun by its
+// key, of words, numbers, strings in double quotes and lists. A semicolon begins a
+// comment.
+var sexpLexer = lexer.MustSimple([]lexer.SimpleRule{
+	{Name: "Space", Pattern: `[ \t\r\n]+`},
+	{Name: "Comment", Pattern: `;[^\n]*`},
+	{Name: "String", Pattern: `"(\\.|[^"\\\n])*"`},
+	{Name: "Word", Pattern: `[^\s()";]+`},
+	{Name: "Punct", Pattern: `[()]`},
+})
+
+type sexpFile struct {
+	Values []*sexp `parser:"@@*"`
+}
+
+// A sexp is a word, a string or a list.
+type sexp struct {
+	Pos  lexer.Position
+	Word *string   `parser:"  @Word"`
+	Text *string   `parser:"| @String"`
+	List *sexpList `parser:"| @@"`
+}
+
+type sexpList struct {
+	Open   string  `parser:"@'('"`
+	Values []*sexp `parser:"@@* ')'"`
+}
+
+var sexpParser = participle.MustBuild[sexpFile](
+	participle.Lexer(sexpLexer), participle.Elide("Space", "Comment"), participle.Unquote("String"),
+)
+
+const (
+	maxOperatorFile = 1 << 20
+	maxDepth        = 32 // of lists within lists: no form of ours has so many
+)
+
+// A Fault is one thing wrong with the operator's file.
+type Fault struct {
+	File         string
+	Line, Column int // 0: the file as a whole
+	Key          string
+	Text         string
+}
+
+func (f Fault) Error() string {
+	at := f.File
+	if f.Line > 0 {
+		at = fmt.Sprintf("%s:%d:%d", f.File, f.Line, f.Column)
+	}
+	if f.Key != "" {
+		return fmt.Sprintf("%s: %s: %s", at, f.Key, f.Text)
+	}
+	return fmt.Sprintf("%s: %s", at, f.Text)
+}
+
+// Faults are all that is wrong, in the file's order.
+type Faults []Fault
+
+func (f Faults) Error() string {
+	lines := make([]string, len(f))
+	for i := range f {
+		lines[i] = f[i].Error()
+	}
+	return strings.Join(lines, "\n")
+}
+
+// A reader walks the forms of a file and gathers faults.
+type reader struct {
+	file     string
+	faults   Faults
+	subjects map[string]form // where what a cells.Fault names stands
+}
+
+func (r *reader) fault(at *sexp, key, format string, args ...any) {
+	f := Fault{File: r.file, Key: key, Text: fmt.Sprintf(format, args...)}
+	if at != nil {
+		f.Line, f.Column = at.Pos.Line, at.Pos.Column
+	}
+	r.faults = append(r.faults, f)
+}
+
+// sorted returns the faults in the file's order.
+func (r *reader) sorted() Faults {
+	slices.SortStableFunc(r.faults, func(a, b Fault) int {
+		return cmp.Or(cmp.Compare(a.Line, b.Line), cmp.Compare(a.Column, b.Column))
+	})
+	return r.faults
+}
+
+// parse reads a text into forms.
+func (r *reader) parse(text []byte) []*sexp {
+	if len(text) > maxOperatorFile {
+		r.fault(nil, "", "over %d bytes", maxOperatorFile)
+		return nil
+	}
+	// The parser recurses: depth is bounded before it begins.
+	depth, quoted, comment := 0, false, false
+	for i := 0; i < len(text); i++ {
+		switch c := text[i]; {
+		case c == '\n':
+			quoted, comment = false, false
+		case comment:
+		case quoted && c == '\\':
+			i++
+		case c == '"':
+			quoted = !quoted
+		case quoted:
+		case c == ';':
+			comment = true
+		case c == '(':
+			depth++
+		case c == ')':
+			depth--
+		}
+		if depth > maxDepth {
+			r.fault(nil, "", "lists more than %d deep", maxDepth)
+			return nil
+		}
+	}
+	f, err := sexpParser.ParseBytes(r.file, text)
+	if err != nil {
+		fault := Fault{File: r.file, Text: err.Error()}
+		if p, ok := err.(participle.Error); ok {
+			fault.Line, fault.Column, fault.Text = p.Position().Line, p.Position().Column, strings.TrimPrefix(p.Message(), "lexer: ")
+		}
+		r.faults = append(r.faults, fault)
+		return nil
+	}
+	return f.Values
+}
+
+// A form is a list that begins with its key.
+type form struct {
+	at   *sexp
+	key  string // with the keys around it, for messages
+	args []*sexp
+}
+
+// A rule says how the forms with one key are read.
+type rule struct {
+	many bool // more than one may be there
+	read func(form)
+}
+
+// forms reads the lists in values by their keys; what has no rule is a fault.
+func (r *reader) forms(within string, values []*sexp, rules map[string]rule) {
+	seen := map[string]bool{}
+	for _, v := range values {
+		if v.List == nil || len(v.List.Values) == 0 || v.List.Values[0].Word == nil {
+			r.fault(v, within, "%s stands where a list that begins with a key should", v)
+			continue
+		}
+		name := *v.List.Values[0].Word
+		key := strings.TrimPrefix(within+"."+name, ".")
+		at := v.List.Values[0]
+		rule, ok := rules[name]
+		switch {
+		case !ok:
+			r.fault(at, key, "unknown key; known here: %s", strings.Join(sortedKeys(rules), ", "))
+		case seen[name] && !rule.many:
+			r.fault(at, key, "it is there twice")
+		default:
+			seen[name] = true
+			rule.read(form{at, key, v.List.Values[1:]})
+		}
+	}
+}
+
+func sortedKeys[V any](m map[string]V) []string {
+	keys := make([]string, 0, len(m))
+	for k := range m {
+		keys = append(keys, k)
+	}
+	slices.Sort(keys)
+	return keys
+}
+
+func (s *sexp) String() string {
+	switch {
+	case s.Word != nil:
+		return *s.Word
+	case s.Text != nil:
+		return strconv.Quote(*s.Text)
+	}
+	return "a list"
+}
+
+// one returns the only value of a form.
+func (r *reader) one(f form) *sexp {
+	if len(f.args) != 1 {
+		r.fault(f.at, f.key, "%d values, want one", len(f.args))
+		return nil
+	}
+	return f.args[0]
+}
+
+// text reads a word or a string.
+func (r *reader) text(f form, v *sexp) string {
+	switch {
+	case v == nil:
+	case v.Word != nil:
+		return *v.Word
+	case v.Text != nil && *v.Text != "":
+		return *v.Text
+	default:
+		r.fault(v, f.key, "%s is no name", v)
+	}
+	return ""
+}
+
+// word reads one of some words.
+func (r *reader) word(f form, v *sexp, known ...string) string {
+	if v == nil {
+		return ""
+	}
+	if v.Word != nil && slices.Contains(known, *v.Word) {
+		return *v.Word
+	}
+	r.fault(v, f.key, "%s is not one of: %s", v, strings.Join(known, ", "))
+	return ""
+}
+
+// number reads a number from least to most.
+func (r *reader) number(f form, v *sexp, least, most float64) float64 {
+	if v == nil {
+		return 0
+	}
+	if v.Word != nil {
+		// NaN and the like compare as false.
+		if n, err := strconv.ParseFloat(*v.Word, 64); err == nil && n >= least && n <= most {
+			return n
+		}
+	}
+	r.fault(v, f.key, "%s is not a number from %g to %g", v, least, most)
+	return 0
+}
+
+// whole reads a whole number from least to most.
+func (r *reader) whole(f form, v *sexp, least, most int) int {
+	if v == nil {
+		return 0
+	}
+	if v.Word != nil {
+		if n, err := strconv.Atoi(*v.Word); err == nil && n >= least && n <= most {
+			return n
+		}
+	}
+	r.fault(v, f.key, "%s is not a whole number from %d to %d", v, least, most)
+	return 0
+}
