--- /dev/null
+++ b/cmd/foxlift/operate.go
@@ -0,0 +1,258 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"runtime/debug"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"github.com/spf13/cobra"
+	"go.uber.org/zap"
+	grpcstatus "google.golang.org/grpc/status"
+	"google.golang.org/protobuf/encoding/protojson"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/vatu-meals/foxlift/internal/config"
+	"github.com/vatu-meals/foxlift/internal/control"
+	"github.com/vatu-meals/foxlift/internal/control/controlpb"
+	"github.com/vatu-meals/foxlift/internal/daemon"
+)
+
+func versionText() string {
+	info, ok := debug.ReadBuildInfo()
+	if !ok {
+		return "unknown"
+	}
+	text := info.Main.Version
+	for _, s := range info.Settings {
+		if s.Key == "vcs.revision" {
+			text += " " + s.Value
+		}
+	}
+	return text + " " + info.GoVersion
+}
+
+func version() *cobra.Command {
+	return &cobra.Command{
+		Use: "version", Short: "Print the version", Args: cobra.NoArgs,
+		Run: func(cmd *cobra.Command, _ []string) { fmt.Fprintln(cmd.OutOrStdout(), "foxlift", versionText()) },
+	}
+}
+
+func check() *cobra.Command {
+	o := daemon.Options{Getenv: os.Getenv, Log: zap.NewNop()}
+	cmd := &cobra.Command{
+		Use:   "check",
+		Short: "Read all of the configuration and print what is wrong with it",
+		Long: `check reads the file that LB_CONFIG names and the operator's file, prints a line for
+each fault and exits with code 1 if there is any. It starts nothing.`,
+		Example: `  LB_CONFIG=config.json foxlift check --operator operator.sexp`,
+		Args:    cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			_, op, _, err := daemon.Read(o)
+			if faults := (config.Faults)(nil); errors.As(err, &faults) {
+				fmt.Fprintln(cmd.ErrOrStderr(), faults)
+				return fmt.Errorf("faults: %d", len(faults))
+			}
+			if err != nil {
+				return err
+			}
+			if op.Cells != nil {
+				fmt.Fprintf(cmd.OutOrStdout(), "the configuration is sound: %d cells\n", op.Cells.Cells())
+			} else {
+				fmt.Fprintln(cmd.OutOrStdout(), "the configuration is sound")
+			}
+			return nil
+		},
+	}
+	cmd.Flags().StringVar(&o.Operator, "operator", "", "the operator's file")
+	return cmd
+}
+
+const callLimit = 5 * time.Second // for the scheduler to answer
+
+// A caller is how a command reaches a running scheduler.
+type caller struct{ socket, operator string }
+
+func (c *caller) flags(cmd *cobra.Command) {
+	cmd.PersistentFlags().StringVar(&c.socket, "socket", os.Getenv("FOXLIFT_CONTROL"), "the scheduler's control socket (FOXLIFT_CONTROL)")
+	cmd.PersistentFlags().StringVar(&c.operator, "operator", "", "the operator's file that names the socket")
+}
+
+// call asks the scheduler one thing.
+func (c *caller) call(do func(context.Context, controlpb.ControlClient) error) error {
+	if c.socket == "" && c.operator != "" {
+		path, err := config.ControlSocket(c.operator)
+		if err != nil {
+			return err
+		}
+		c.socket = path
+	}
+	if c.socket == "" {
+		return errors.New("--socket: not given; it is control.socket of the operator's file")
+	}
+	client, end, err := control.Dial(c.socket)
+	if err != nil {
+		return err
+	}
+	defer end()
+	ctx, cancel := context.WithTimeout(context.Background(), callLimit)
+	defer cancel()
+	if err := do(ctx, client); err != nil {
+		return errors.New(grpcstatus.Convert(err).Message())
+	}
+	return nil
+}
+
+func printJSON(w io.Writer, m proto.Message) error {
+	text, err := protojson.MarshalOptions{Multiline: true, EmitUnpopulated: true, UseProtoNames: true}.Marshal(m)
+	if err == nil {
+		_, err = fmt.Fprintln(w, string(text))
+	}
+	return err
+}
+
+func status() *cobra.Command {
+	c := &caller{}
+	cmd := &cobra.Command{
+		Use: "status", Short: "Print what a running scheduler is and its counters, as JSON", Args: cobra.NoArgs,
+		Example: `  foxlift status --socket /run/foxlift/control.sock`,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			return c.call(func(ctx context.Context, client controlpb.ControlClient) error {
+				r, err := client.Status(ctx, &controlpb.StatusRequest{})
+				if err != nil {
+					return err
+				}
+				return printJSON(cmd.OutOrStdout(), r)
+			})
+		},
+	}
+	c.flags(cmd)
+	return cmd
+}
+
+func cellsCommand() *cobra.Command {
+	c := &caller{}
+	cmd := &cobra.Command{
+		Use:   "cells",
+		Short: "Look at the cells of a running scheduler, and move tenants between them",
+		Long: `The cells of one running scheduler. A change holds at that scheduler until it ends,
+is restored, or reads a changed operator's file; make it at each of them, and in the
+file if it is to last.`,
+		Args: cobra.NoArgs,
+	}
+	c.flags(cmd)
+	changed := func(cmd *cobra.Command, m *controlpb.Moved) error {
+		fmt.Fprintf(cmd.OutOrStdout(), "tenants %d, held jobs gone over %d, jobs that finish where they are %d\n", m.Tenants, m.Held, m.Out)
+		return nil
+	}
+	asJSON := false
+	show := &cobra.Command{
+		Use: "show", Short: "Print nodes, tenants and jobs of each cell", Args: cobra.NoArgs,
+		Example: `  foxlift cells show --socket /run/foxlift/control.sock --json`,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			return c.call(func(ctx context.Context, client controlpb.ControlClient) error {
+				r, err := client.Cells(ctx, &controlpb.CellsRequest{})
+				if err != nil {
+					return err
+				}
+				if asJSON {
+					return printJSON(cmd.OutOrStdout(), r)
+				}
+				return printCells(cmd.OutOrStdout(), r)
+			})
+		},
+	}
+	show.Flags().BoolVar(&asJSON, "json", false, "print JSON")
+	move := &cobra.Command{
+		Use: "move TENANT CELL", Short: "Move a tenant: new and held jobs go over, claims finish where they are", Args: cobra.ExactArgs(2),
+		Example: `  foxlift cells move islands mainland`,
+		RunE: func(cmd *cobra.Command, args []string) error {
+			return c.call(func(ctx context.Context, client controlpb.ControlClient) error {
+				m, err := client.Move(ctx, &controlpb.MoveRequest{Tenant: args[0], Cell: args[1]})
+				if err != nil {
+					return err
+				}
+				return changed(cmd, m)
+			})
+		},
+	}
+	evacuate := &cobra.Command{
+		Use: "evacuate CELL", Short: "Move every tenant out of a cell, for a release on its nodes", Args: cobra.ExactArgs(1),
+		Example: `  foxlift cells evacuate isles
+  foxlift cells show            # until "out" is 0
+  foxlift cells restore --cell isles`,
+		RunE: func(cmd *cobra.Command, args []string) error {
+			return c.call(func(ctx context.Context, client controlpb.ControlClient) error {
+				m, err := client.Evacuate(ctx, &controlpb.EvacuateRequest{Cell: args[0]})
+				if err != nil {
+					return err
+				}
+				return changed(cmd, m)
+			})
+		},
+	}
+	var tenant, cell string
+	restore := &cobra.Command{
+		Use: "restore", Short: "Put tenants back to where the file has them", Args: cobra.NoArgs,
+		Example: `  foxlift cells restore --tenant islands
+  foxlift cells restore             # all of them`,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			return c.call(func(ctx context.Context, client controlpb.ControlClient) error {
+				m, err := client.Restore(ctx, &controlpb.RestoreRequest{Tenant: tenant, Cell: cell})
+				if err != nil {
+					return err
+				}
+				return changed(cmd, m)
+			})
+		},
+	}
+	restore.Flags().StringVar(&tenant, "tenant", "", "this tenant alone")
+	restore.Flags().StringVar(&cell, "cell", "", "the tenants of this cell alone")
+	restore.MarkFlagsMutuallyExclusive("tenant", "cell")
+	cmd.AddCommand(show, move, evacuate, restore)
+	return cmd
+}
+
+// printCells prints a table of cells, one of nodes and one of tenants.
+func printCells(to io.Writer, r *controlpb.CellsReply) error {
+	w := tabwriter.NewWriter(to, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(w, "CELL\tSTATE\tSHARE\tNODES\tOPEN\tBOUND\tOUT\tHELD\tSPILLED\tSERVED\tREFUSED\tFAILED\tSHUT")
+	for _, c := range r.Cells {
+		state := strings.ToLower(strings.TrimPrefix(c.Condition.String(), "CONDITION_"))
+		switch {
+		case c.Retired:
+			state = "retired"
+		case c.Evacuated:
+			state = "evacuated"
+		}
+		fmt.Fprintf(w, "%s\t%s\t%.1f %%\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\n", c.Name, state, 100*c.Share, len(c.Nodes),
+			c.Open, c.Bound, c.Out, c.Held, c.SpillsOut, c.Served, c.Refused, c.Failed, c.Shut)
+	}
+	fmt.Fprintln(w, "\nTENANT\tCELL\tQUOTA\tPLACE")
+	for _, c := range r.Cells {
+		for _, t := range c.Tenants {
+			place := "as in the file"
+			if t.Moved {
+				place = "moved"
+			}
+			fmt.Fprintf(w, "%s\t%s\t%.4g/s\t%s\n", t.Name, c.Name, t.Quota, place)
+		}
+	}
+	fmt.Fprintln(w, "\nNODE\tCELL\tKIND\tZONE\tSTATE\tOUT\tOF OTHERS")
+	for _, c := range r.Cells {
+		for _, n := range c.Nodes {
+			state := strings.ToLower(strings.TrimPrefix(n.State.String(), "NODE_STATE_"))
+			if n.Cold {
+				state += ", cold"
+			}
+			fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%s\t%g\t%g\n", n.Id, c.Name, n.Kind, n.Zone, state, n.Out, n.Others)
+		}
+	}
+	return w.Flush()
+}
--- /dev/null
+++ b/internal/control/client.go
@@ -0,0 +1,27 @@
+package control
+
+import (
+	"context"
+	"net"
+
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/credentials/insecure"
+
+	"github.com/vatu-meals/foxlift/internal/control/controlpb"
+)
+
+// Dial returns a client of the scheduler whose control socket is at path, and what
+// ends it. It connects with the first call.
+func Dial(path string) (controlpb.ControlClient, func() error, error) {
+	conn, err := grpc.NewClient("passthrough:///foxlift",
+		grpc.WithTransportCredentials(insecure.NewCredentials()), // the socket's mode guards it
+		grpc.WithContextDialer(func(ctx context.Context, _ string) (net.Conn, error) {
+			var d net.Dialer
+			return d.DialContext(ctx, "unix", path)
+		}),
+	)
+	if err != nil {
+		return nil, nil, err
+	}
+	return controlpb.NewControlClient(conn), conn.Close, nil
+}
--- /dev/null
+++ b/internal/control/control_test.go
@@ -0,0 +1,177 @@
+package control
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
+
+	"github.com/vatu-meals/foxlift"
+	"github.com/vatu-meals/foxlift/internal/cells"
+	"github.com/vatu-meals/foxlift/internal/config"
+	"github.com/vatu-meals/foxlift/internal/control/controlpb"
+	"github.com/vatu-meals/foxlift/internal/core"
+	"github.com/vatu-meals/foxlift/internal/counters"
+)
+
+const patience = 20 * time.Second
+
+type nothing struct{}
+
+func (nothing) Send(string, *core.Job, time.Duration, func(core.Report)) func() { return func() {} }
+func (nothing) CloseIdle(string)                                                {}
+func (nothing) Probe(string, func(core.Report))                                 {}
+func (nothing) Watch()                                                          {}
+
+// start runs a core with two cells and four nodes behind a control socket.
+func start(t *testing.T) (*Server, string, controlpb.ControlClient) {
+	t.Helper()
+	s, err := config.ParseSettings([]byte(`{"dcs":["a"],"flavors":["k"],"grades":[{"name":"r","aim":1,"deadline":1,"effect":"idempotent"}],
+		"projects":[{"name":"t","quotaRps":1},{"name":"u","quotaRps":1}]}`))
+	if err != nil {
+		t.Fatal(err)
+	}
+	plan, faults := s.PlanCells(&cells.Spec{Cells: []cells.Cell{{Name: "a", Tenants: []string{"t"}}, {Name: "b", Tenants: []string{"u"}}}})
+	if faults != nil {
+		t.Fatal(faults)
+	}
+	set := &counters.Set{}
+	c, err := core.New(s, plan, 1, core.NewClock(), set)
+	if err != nil {
+		t.Fatal(err)
+	}
+	c.Connect(nothing{}, nothing{}, 100)
+	var list []foxlift.Worker
+	for i := range 8 {
+		list = append(list, foxlift.Worker{ID: fmt.Sprint("n", i)})
+	}
+	c.Start(list)
+	t.Cleanup(c.Stop)
+	srv := &Server{Core: c, Settings: s, Counters: set, Name: "x", Version: "v"}
+	path := filepath.Join(t.TempDir(), "c.sock")
+	if err := srv.Start(path); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(srv.Stop)
+	client, end, err := Dial(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { end() })
+	return srv, path, client
+}
+
+// The whole API over a real socket, which others may not open.
+func TestAPI(t *testing.T) {
+	_, path, client := start(t)
+	ctx, cancel := context.WithTimeout(t.Context(), patience)
+	defer cancel()
+	info, err := os.Stat(path)
+	if err != nil || info.Mode().Perm() != 0o600 {
+		t.Errorf("mode %v, %v", info.Mode(), err)
+	}
+	if st, err := client.Status(ctx, &controlpb.StatusRequest{}); err != nil || !st.Ready || !st.Cells || st.Version != "v" {
+		t.Errorf("status %v, %v", st, err)
+	}
+	r, err := client.Cells(ctx, &controlpb.CellsRequest{})
+	if err != nil || len(r.Cells) != 2 || len(r.Cells[0].Nodes)+len(r.Cells[1].Nodes) != 8 || r.Cells[0].Tenants[0].Name != "t" {
+		t.Fatalf("cells %v, %v", r, err)
+	}
+	if m, err := client.Move(ctx, &controlpb.MoveRequest{Tenant: "t", Cell: "b"}); err != nil || m.Tenants != 1 {
+		t.Errorf("move %v, %v", m, err)
+	}
+	for what, c := range map[string]struct {
+		err  error
+		want codes.Code
+	}{
+		"the same cell":  {second(client.Move(ctx, &controlpb.MoveRequest{Tenant: "t", Cell: "b"})), codes.FailedPrecondition},
+		"unknown cell":   {second(client.Move(ctx, &controlpb.MoveRequest{Tenant: "t", Cell: "z"})), codes.NotFound},
+		"unknown tenant": {second(client.Move(ctx, &controlpb.MoveRequest{Tenant: "z", Cell: "a"})), codes.NotFound},
+		"no such cell":   {second(client.Evacuate(ctx, &controlpb.EvacuateRequest{Cell: "z"})), codes.NotFound},
+	} {
+		if status.Code(c.err) != c.want {
+			t.Errorf("%s: %v", what, c.err)
+		}
+	}
+	if m, err := client.Evacuate(ctx, &controlpb.EvacuateRequest{Cell: "b"}); err != nil || m.Tenants != 2 {
+		t.Errorf("evacuate %v, %v", m, err)
+	}
+	if m, err := client.Restore(ctx, &controlpb.RestoreRequest{}); err != nil || m.Tenants != 1 {
+		t.Errorf("restore %v, %v", m, err)
+	}
+}
+
+func second[T any](_ T, err error) error { return err }
+
+// A client that stands still, sends garbage or floods holds up neither the core nor,
+// beyond the bound on connections, the others.
+func TestBadClients(t *testing.T) {
+	srv, path, client := start(t)
+	for range mostCallers - 2 {
+		c, err := net.Dial("unix", path)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer c.Close()
+	}
+	c, err := net.Dial("unix", path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	c.Write([]byte("GET / HTTP/1.1\r\n\r\n"))
+	ctx, cancel := context.WithTimeout(t.Context(), patience)
+	defer cancel()
+	if _, err := client.Cells(ctx, &controlpb.CellsRequest{}); err != nil {
+		t.Errorf("beside clients that stand still: %v", err)
+	}
+	if _, err := srv.Core.Cells(ctx); err != nil {
+		t.Errorf("the core: %v", err)
+	}
+	gone, end := context.WithCancel(ctx)
+	end()
+	if _, err := client.Cells(gone, &controlpb.CellsRequest{}); status.Code(err) != codes.Canceled {
+		t.Errorf("a caller that has gone: %v", err)
+	}
+}
+
+// A socket that a dead process left is taken over; a live one, and another file, are
+// not. The end removes its own socket and no other's.
+func TestSocketFile(t *testing.T) {
+	srv, path, _ := start(t)
+	again := &Server{Core: srv.Core, Settings: srv.Settings, Counters: srv.Counters}
+	if err := again.Start(path); err == nil {
+		t.Error("a socket in use is taken over")
+	}
+	file := filepath.Join(t.TempDir(), "file")
+	os.WriteFile(file, []byte("x"), 0o600)
+	if err := again.Start(file); err == nil {
+		t.Error("a file is taken for a socket")
+	}
+	left := filepath.Join(t.TempDir(), "left.sock")
+	l, err := net.ListenUnix("unix", &net.UnixAddr{Name: left})
+	if err != nil {
+		t.Fatal(err)
+	}
+	l.SetUnlinkOnClose(false)
+	l.Close()
+	if err := again.Start(left); err != nil {
+		t.Errorf("a socket that was left: %v", err)
+	}
+	again.Stop()
+	if _, err := os.Lstat(left); !os.IsNotExist(err) {
+		t.Errorf("its socket stays: %v", err)
+	}
+	os.Remove(path)
+	os.WriteFile(path, []byte("another's"), 0o600)
+	srv.Stop()
+	if _, err := os.Lstat(path); err != nil {
+		t.Errorf("another's file is removed: %v", err)
+	}
+}
--- a/internal/core/admit.go
+++ b/internal/core/admit.go
@@ -6,25 +6,37 @@
 	"github.com/vatu-meals/foxlift"
 )
 
-const fullRetry = time.Second // advice to submitters when the table is full
+const fullRetry = time.Second // advice to submitters when there is no room
+
+// fullRetry is that advice, where the settings allow one.
+func (c *Core) fullRetry() time.Duration {
+	return min(fullRetry, time.Duration(c.settings.Module.MaxRetryAfter))
+}
 
 // Stage 2, admit: the module hears of the job and holds, sends or refuses it.
 // Past the number that may be open it is refused before the module: a job that
 // waits unread because no descriptor is left for its connection is lost.
-func (c *Core) admit(j *job, class, tenant int) {
+func (c *Core) admit(j *job) {
 	if len(c.open) > c.most {
 		c.counters.Add("jobs.too_many")
-		c.answer(j, Answer{Verdict: Refused, RetryAfter: fullRetry})
+		c.answer(j, Answer{Verdict: Refused, RetryAfter: c.fullRetry()})
 		return
 	}
-	if class := &c.settings.Module.Classes[class]; c.endBy > 0 && c.clock.Now()+class.Aim > c.endBy {
+	if class := &c.settings.Module.Classes[j.class]; c.endBy > 0 && c.clock.Now()+class.Aim > c.endBy {
 		// It would hardly be done before the end: another scheduler has more time.
 		c.counters.Add("jobs.at_end")
 		c.answer(j, Answer{Verdict: Refused, RetryAfter: time.Duration(c.settings.Module.MaxRetryAfter)})
 		return
 	}
-	c.news = append(c.news, foxlift.Event{Kind: foxlift.EventRequest, Request: foxlift.Request{
-		ID: j.number, Class: class, Tenant: tenant, Deadline: j.deadline, Key: j.Key,
+	c.place(j)
+}
+
+// hand gives a job to the module of its cell.
+func (c *Core) hand(j *job) {
+	j.base = len(j.claims)
+	j.cell.tell(foxlift.Event{Kind: foxlift.EventRequest, Request: foxlift.Request{
+		ID: j.number, Class: j.class, Tenant: j.tenant, Deadline: j.deadline, Key: j.Key,
 		Slots: j.Slots, Memory: j.Memory, Repeat: j.Repeat,
+		Waited: max(0, c.clock.Now()-j.Arrived), Tried: j.base, Among: j.among,
 	}})
 }
--- a/internal/core/book.go
+++ b/internal/core/book.go
@@ -23,6 +23,9 @@
 	j.answered = true
 	j.overdue.Stop()
 	delete(c.open, j.ID)
+	j.place.leave()
+	c.leaveKey(j)
+	j.cell.book(j, a.Verdict)
 	c.recent[j.ID] = true
 	c.after(c.longest, idForgotten{j.ID})
 	c.counters.Add(verdictCounters[a.Verdict])
@@ -32,7 +35,7 @@
 
 // abandon answers a job that the module has not ended, and tells the module.
 func (c *Core) abandon(j *job, a Answer) {
-	c.news = append(c.news, foxlift.Event{Kind: foxlift.EventClientLeft, ID: j.number})
+	j.cell.tell(foxlift.Event{Kind: foxlift.EventClientLeft, ID: j.number})
 	c.answer(j, a)
 }
 
@@ -41,8 +44,9 @@
 	e := cl.event(foxlift.EventOutcome)
 	e.Code, e.Took, e.Ended = r.Code, c.clock.Now()-cl.sent, cl.job.answered
 	e.HasLoad, e.Load = r.HasLoad, r.Load
-	c.news = append(c.news, e)
+	cl.cell.tell(e)
 	c.forget(cl.job)
+	c.rehome(cl.job)
 }
 
 // forget drops a job that is answered and has no claim out.
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -1,5 +1,5 @@
 // Package core runs the decision module as a live scheduler. One goroutine owns
-// the Dispatcher, the table of jobs and claims, and the chain of stages that a
+// the Dispatcher (or one for each cell, see cell.go), the table of jobs and claims, and the chain of stages that a
 // job passes: take in, admit, route, send, relay, book (a file each). Everything
 // else talks to it by events. It knows no protocol: a front brings jobs as Job
 // values and is answered through Submitter; execute nodes are reached through
@@ -8,11 +8,13 @@
 package core
 
 import (
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/vatu-meals/foxlift"
+	"github.com/vatu-meals/foxlift/internal/cells"
 	"github.com/vatu-meals/foxlift/internal/config"
 	"github.com/vatu-meals/foxlift/internal/counters"
 )
@@ -57,7 +59,7 @@
 	counters *counters.Set
 	nodes    Nodes
 	machines MachineList
-	module   *foxlift.Dispatcher
+	seed     uint64
 
 	inbox   chan event
 	stopped chan struct{}
@@ -72,25 +74,38 @@
 	most     int             // jobs that may be open
 	endBy    int64           // when what comes now must be answered; 0: no end is near
 	numbered uint64
-	news     []foxlift.Event // for the module's next step
-	states   map[string]foxlift.WorkerState
+	cells    []*cell // one where there is no plan of cells; retired ones behind the plan's
+	known    map[string]*entry
+	order    []*entry // of known, as first told
+	assigner *cells.Assigner
+	keys     map[keyIn]int // open jobs by key and cell, where the plan bounds them
+
+	scheme atomic.Pointer[scheme] // nil without cells; any goroutine may read it
 }
 
-// New returns a Core. Its parts are set by Connect before Start.
-func New(s *config.Settings, seed uint64, clock Clock, set *counters.Set) (*Core, error) {
-	module, err := foxlift.New(s.Module, seed)
-	if err != nil {
-		return nil, err
-	}
+// New returns a Core, with cells where there is a plan of them. Its parts are set by
+// Connect before Start.
+func New(s *config.Settings, plan *cells.Plan, seed uint64, clock Clock, set *counters.Set) (*Core, error) {
 	c := &Core{
-		settings: s, clock: clock, counters: set, module: module,
+		settings: s, clock: clock, counters: set, seed: seed,
 		inbox: make(chan event, 1024), stopped: make(chan struct{}),
 		jobs: map[uint64]*job{}, open: map[string]*job{}, recent: map[string]bool{},
-		states: map[string]foxlift.WorkerState{},
+		known: map[string]*entry{}, keys: map[keyIn]int{},
 	}
 	for _, k := range s.Module.Classes {
 		c.longest = max(c.longest, k.Deadline)
 	}
+	var err error
+	if plan == nil {
+		var only *cell
+		only, err = c.newCell("", s.Module.Tenants)
+		c.cells = []*cell{only}
+	} else {
+		err = c.begin(plan)
+	}
+	if err != nil {
+		return nil, err
+	}
 	return c, nil
 }
 
@@ -101,6 +116,9 @@
 	if s := c.settings.MaxOpen; s > 0 {
 		c.most = min(most, s)
 	}
+	if s := c.scheme.Load(); s != nil {
+		c.scheme.Store(newScheme(s.layout, c.most))
+	}
 }
 
 // Start begins with the machine list as last known and starts the core's
@@ -143,8 +161,19 @@
 	return time.AfterFunc(time.Duration(wait), func() { c.post(e) })
 }
 
-// TakeIn brings a job. It is answered once, through its Submitter.
-func (c *Core) TakeIn(j *Job) { c.post(jobArrived{j}) }
+// TakeIn brings a job. It is answered once, through its Submitter: where its cell
+// has no room, at once and on the caller's goroutine, so that a flood of one cell
+// does not even stand in the way of the others' events.
+func (c *Core) TakeIn(j *Job) {
+	if s := c.scheme.Load(); s != nil && !s.enter(c, j) {
+		c.counters.Add("jobs.taken")
+		c.counters.Add("jobs.refused")
+		c.counters.Add("jobs.cell_full")
+		j.Submitter.Answer(Answer{Verdict: Refused, RetryAfter: c.fullRetry()})
+		return
+	}
+	c.post(jobArrived{j})
+}
 
 // Left says that a job's submitter has gone away. The answer still comes.
 func (c *Core) Left(j *Job) { c.post(submitterLeft{j}) }
@@ -171,23 +200,63 @@
 }
 
 func (e machinesTold) apply(c *Core) {
-	c.news = append(c.news, foxlift.Event{Kind: foxlift.EventList, List: e.kind, Workers: e.entries})
 	if e.kind == foxlift.ListFailed {
 		c.counters.Add("machines.failed")
+		for _, cl := range c.cells {
+			cl.tell(foxlift.Event{Kind: foxlift.EventList, List: e.kind})
+		}
 		return // the old list remains
 	}
 	c.counters.Add("machines.told")
-	if e.kind != foxlift.ListChanges {
-		clear(c.states)
-	}
-	for _, w := range e.entries {
-		c.states[w.ID] = w.State
+	c.note(e.kind, e.entries)
+	if c.scheme.Load() == nil {
+		c.cells[0].tell(foxlift.Event{Kind: foxlift.EventList, List: e.kind, Workers: e.entries})
+	} else {
+		c.spread(e.kind, e.entries)
+		c.rehomeAll()
 	}
+	c.prune()
 	live := 0
-	for _, s := range c.states {
-		if s == foxlift.Live {
+	for _, n := range c.known {
+		if n.State == foxlift.Live {
 			live++
 		}
 	}
 	c.ready.Store(live > 0)
 }
+
+// An entry is a node of the machine list.
+type entry struct {
+	foxlift.Worker
+	cell *cell             // whose module decides on it; nil before it was live
+	out  map[*cell]float64 // slots of claims on it that are out, by the cell that sent them
+}
+
+// note takes news of the list into the core's own copy.
+func (c *Core) note(kind foxlift.ListKind, entries []foxlift.Worker) {
+	if kind != foxlift.ListChanges {
+		for _, n := range c.known {
+			n.State = foxlift.Gone
+		}
+	}
+	for _, w := range entries {
+		n := c.known[w.ID]
+		if n == nil {
+			n = &entry{out: map[*cell]float64{}}
+			c.known[w.ID] = n
+			c.order = append(c.order, n)
+		}
+		n.Worker = w
+	}
+}
+
+// prune forgets nodes that are gone, once nothing is out there.
+func (c *Core) prune() {
+	c.order = slices.DeleteFunc(c.order, func(n *entry) bool {
+		if n.State != foxlift.Gone || len(n.out) > 0 {
+			return false
+		}
+		delete(c.known, n.ID)
+		return true
+	})
+}
--- a/internal/core/job.go
+++ b/internal/core/job.go
@@ -19,6 +19,8 @@
 	Repeat    bool // the submitter says that it tried before
 	Payload   any  // for Nodes; the core does not look at it
 	Submitter Submitter
+
+	place place // in a gate, where there are cells
 }
 
 // A Submitter waits for a job's answer.
@@ -51,20 +53,41 @@
 type job struct {
 	*Job
 	number   uint64
+	class    int // index into the module's classes
+	tenant   int // index into the module's tenants, or -1
 	deadline int64
 	answered bool
-	claims   []*claim // by attempt
+	claims   []*claim // in the order they were made
 	out      int      // claims that have not ended
 	overdue  *time.Timer
+
+	cell    *cell // whose module decides on it
+	base    int   // claims made before that module got it
+	leaving bool  // that module has been told that it goes
+	spilled *cell // the cell that could not take it; nil if it is in its own
+	among   []string
+	keyed   keyIn // as it is counted in Core.keys
+}
+
+// mayHaveRun reports whether any claim of the job may have run or may yet.
+func (j *job) mayHaveRun() bool {
+	for _, cl := range j.claims {
+		if !cl.done || !cl.code.NeverRan() {
+			return true
+		}
+	}
+	return false
 }
 
 // A claim is one attempt at running a job on an execute node.
 type claim struct {
 	job      *job
-	attempt  int
+	cell     *cell // whose module made it
+	attempt  int   // as that module counts
 	node     string
 	sent     int64
 	done     bool
+	code     foxlift.Code // if done
 	limit    *time.Timer
 	withdraw func()
 }
--- a/internal/core/relay.go
+++ b/internal/core/relay.go
@@ -15,10 +15,11 @@
 	switch {
 	case e.report.Ended:
 		c.endClaim(cl, e.report)
+	case cl.done: // late: its module may have the job anew, and count from 0 again
 	case e.report.Progress:
-		c.news = append(c.news, cl.event(foxlift.EventProgress))
+		cl.cell.tell(cl.event(foxlift.EventProgress))
 	default:
-		c.news = append(c.news, cl.event(foxlift.EventStarted))
+		cl.cell.tell(cl.event(foxlift.EventStarted))
 	}
 }
 
@@ -27,8 +28,9 @@
 	if cl.done {
 		return
 	}
-	cl.done = true
+	cl.done, cl.code = true, r.Code
 	cl.job.out--
+	c.count(cl, -1)
 	if cl.limit != nil {
 		cl.limit.Stop()
 	}
--- a/internal/core/takein.go
+++ b/internal/core/takein.go
@@ -11,6 +11,7 @@
 func (e jobArrived) apply(c *Core) {
 	class, tenant, reason := c.check(e.job)
 	if reason != "" {
+		e.job.place.leave()
 		c.counters.Add("jobs.rejected")
 		e.job.Submitter.Answer(Answer{Verdict: Rejected, Reason: reason})
 		return
@@ -20,7 +21,7 @@
 	longest := c.settings.Module.Classes[class].Deadline
 	wait := min(max(int64(e.job.Remaining), 0), longest)
 	c.numbered++
-	j := &job{Job: e.job, number: c.numbered, deadline: e.job.Arrived + wait}
+	j := &job{Job: e.job, number: c.numbered, class: class, tenant: tenant, deadline: e.job.Arrived + wait, cell: c.home(tenant, e.job.Key)}
 	c.jobs[j.number], c.open[j.ID] = j, j
 	// The module answers every job in time. Should it ever not, the submitter
 	// still gets an answer: a little later than the end of the last claim, which
@@ -30,7 +31,7 @@
 		end = min(end, c.endBy) // whoever is killed then has lost no job
 	}
 	j.overdue = c.after(end-c.clock.Now(), jobOverdue{j})
-	c.admit(j, class, tenant)
+	c.admit(j)
 }
 
 const overdueAfter = 30 * time.Millisecond // past the deadline; rules on sockets allow over 50
--- a/internal/counters/counters.go
+++ b/internal/counters/counters.go
@@ -32,11 +32,16 @@
 	return s.values[name]
 }
 
+// All returns a copy of the counters that are not zero.
+func (s *Set) All() map[string]int64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return maps.Clone(s.values)
+}
+
 // Print writes a line for each counter that is not zero, sorted by name.
 func (s *Set) Print(w io.Writer) {
-	s.mu.Lock()
-	values := maps.Clone(s.values)
-	s.mu.Unlock()
+	values := s.All()
 	for _, name := range slices.Sorted(maps.Keys(values)) {
 		fmt.Fprintf(w, "%s %d\n", name, values[name])
 	}
--- /dev/null
+++ b/internal/daemon/daemon.go
@@ -0,0 +1,170 @@
+// Package daemon puts a scheduler together: configuration, core, the platform's side
+// and, where the operator's file asks for them, cells and the control socket.
+package daemon
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"os"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/vatu-meals/foxlift/internal/config"
+	"github.com/vatu-meals/foxlift/internal/control"
+	"github.com/vatu-meals/foxlift/internal/core"
+	"github.com/vatu-meals/foxlift/internal/counters"
+	"github.com/vatu-meals/foxlift/internal/platform"
+)
+
+// Options are what a scheduler is started with besides its configuration.
+type Options struct {
+	Getenv   func(string) string // where the LB_ variables are
+	Operator string              // path of the operator's file; "": none
+	Log      *zap.Logger
+	Version  string
+}
+
+// A Daemon is a running scheduler.
+type Daemon struct {
+	Config   *config.Scheduler
+	Core     *core.Core
+	Counters *counters.Set
+
+	options  Options
+	operator *config.Operator
+	text     []byte // of the operator's file
+	platform *platform.Platform
+	control  *control.Server
+}
+
+// Read reads and checks all of the configuration, and starts nothing.
+func Read(o Options) (*config.Scheduler, *config.Operator, []byte, error) {
+	cfg, err := config.Load(o.Getenv)
+	if err != nil {
+		return nil, nil, nil, err
+	}
+	if err := platform.CheckKnown(cfg.Known); err != nil {
+		return nil, nil, nil, err
+	}
+	op, text, err := readOperator(o.Operator, cfg.Settings)
+	return cfg, op, text, err
+}
+
+func readOperator(path string, s *config.Settings) (*config.Operator, []byte, error) {
+	if path == "" {
+		return &config.Operator{}, nil, nil
+	}
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil, nil, config.Faults{{File: path, Text: err.Error()}}
+	}
+	op, err := config.ParseOperator(path, text, s)
+	return op, text, err
+}
+
+// Start starts a scheduler. It serves when Start returns.
+func Start(o Options) (*Daemon, error) {
+	cfg, op, text, err := Read(o)
+	if err != nil {
+		return nil, err
+	}
+	return start(o, cfg, op, text)
+}
+
+// StartWith starts a scheduler whose configuration has been read.
+func StartWith(o Options, cfg *config.Scheduler, op *config.Operator) (*Daemon, error) {
+	return start(o, cfg, op, nil)
+}
+
+func start(o Options, cfg *config.Scheduler, op *config.Operator, text []byte) (*Daemon, error) {
+	d := &Daemon{Config: cfg, Counters: &counters.Set{}, options: o, operator: op, text: text}
+	clock := core.NewClock()
+	var err error
+	if d.Core, err = core.New(cfg.Settings, op.Cells, cfg.Seed, clock, d.Counters); err != nil {
+		return nil, fmt.Errorf("settings: %w", err)
+	}
+	if op.ControlSocket != "" {
+		d.control = &control.Server{Core: d.Core, Settings: cfg.Settings, Counters: d.Counters, Name: cfg.Name, Version: o.Version}
+		if err := d.control.Start(op.ControlSocket); err != nil {
+			return nil, err
+		}
+	}
+	if d.platform, err = platform.Start(cfg, d.Core, clock, d.Counters, o.Log); err != nil {
+		if d.control != nil {
+			d.control.Stop()
+		}
+		return nil, err
+	}
+	return d, nil
+}
+
+// Addr returns the address on which submitters are served.
+func (d *Daemon) Addr() net.Addr { return d.platform.Addr() }
+
+const replanLimit = 5 * time.Second // for the core to take over another plan of cells
+
+// Reload reads the configuration again. With an error nothing has changed.
+func (d *Daemon) Reload() error {
+	cfg, err := config.Reload(d.options.Getenv)
+	if err != nil {
+		return err
+	}
+	op, text, err := readOperator(d.options.Operator, d.Config.Settings)
+	if err != nil {
+		return err
+	}
+	if err := d.mayBecome(op); err != nil {
+		return err
+	}
+	if err := platform.CheckKnown(cfg.Known); err != nil {
+		return err
+	}
+	// Only what is new is carried out: a reload for another reason leaves tenants
+	// where the operators have moved them.
+	if op.Cells != nil && !bytes.Equal(text, d.text) {
+		ctx, cancel := context.WithTimeout(context.Background(), replanLimit)
+		defer cancel()
+		m, err := d.Core.Replan(ctx, op.Cells)
+		if err != nil {
+			return fmt.Errorf("cells: %w", err)
+		}
+		d.options.Log.Info("the map of cells has changed", zap.Int("tenants", m.Tenants), zap.Int("held", m.Held), zap.Int("out", m.Out))
+	}
+	if err := d.platform.Reload(cfg); err != nil {
+		return err
+	}
+	d.operator, d.text = op, text
+	d.Config.Discovery = cfg.Discovery
+	return nil
+}
+
+// mayBecome checks what a reload cannot change.
+func (d *Daemon) mayBecome(op *config.Operator) error {
+	switch {
+	case op.ControlSocket != d.operator.ControlSocket:
+		return errors.New("control.socket: it holds until the scheduler is started again")
+	case (op.Cells == nil) != (d.operator.Cells == nil):
+		return errors.New("cells: a scheduler goes from none to some, or back, when it is started again")
+	}
+	return nil
+}
+
+// ShutDown ends the scheduler once everything taken is answered.
+func (d *Daemon) ShutDown() {
+	d.platform.ShutDown()
+	if d.control != nil {
+		d.control.Stop()
+	}
+}
+
+// Kill ends the scheduler at once, as a kill of its process would for its peers.
+func (d *Daemon) Kill() {
+	d.platform.Kill()
+	if d.control != nil {
+		d.control.Stop()
+	}
+}
--- a/internal/platform/front.go
+++ b/internal/platform/front.go
@@ -1,14 +1,17 @@
 package platform
 
 import (
+	"container/list"
 	"errors"
+	"iter"
 	"net"
 	"os"
-	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
 
+	"go.uber.org/zap"
+
 	"github.com/vatu-meals/foxlift/internal/core"
 	"github.com/vatu-meals/foxlift/internal/counters"
 )
@@ -24,6 +27,7 @@
 	core     *core.Core
 	clock    core.Clock
 	counters *counters.Set
+	log      *zap.Logger
 	listener listener
 	budget   int
 	grace    time.Duration // for a request that crosses the end of an idle connection
@@ -35,13 +39,14 @@
 	mu    sync.Mutex
 	freed *sync.Cond // a connection has ended
 	all   map[*submitter]struct{}
-	idle  []*submitter // the longest idle first
+	idle  *list.List     // of *submitter, the longest idle first
+	cells map[string]int // connections by the cell of their last job
 }
 
-func newFront(c *core.Core, clock core.Clock, set *counters.Set, l listener, budget int) *front {
+func newFront(c *core.Core, clock core.Clock, set *counters.Set, log *zap.Logger, l listener, budget int) *front {
 	f := &front{
-		core: c, clock: clock, counters: set, listener: l, budget: budget, grace: graceTime,
-		accepted: make(chan struct{}), all: map[*submitter]struct{}{},
+		core: c, clock: clock, counters: set, log: log, listener: l, budget: budget, grace: graceTime,
+		accepted: make(chan struct{}), all: map[*submitter]struct{}{}, idle: list.New(), cells: map[string]int{},
 	}
 	f.freed = sync.NewCond(&f.mu)
 	return f
@@ -84,6 +89,7 @@
 			// Out of descriptors, most likely: an idle connection makes room, and
 			// accepting goes on after a while, always.
 			f.counters.Add("accept.failed")
+			f.log.Warn("a connection could not be accepted", zap.Error(err))
 			f.makeRoom(1)
 			<-time.After(pause)
 			pause = min(2*pause, acceptPauseUp)
@@ -101,6 +107,7 @@
 		s.serve()
 		f.mu.Lock()
 		delete(f.all, s)
+		f.labelLocked(s, "")
 		f.mu.Unlock()
 		f.freed.Broadcast()
 	}()
@@ -150,7 +157,7 @@
 			f.retireLocked(s)
 		}
 	}
-	for _, s := range f.idle {
+	for s := range f.idlers() {
 		end(s, s.jobs == 0 && time.Since(s.began) > newTime)
 	}
 	for s := range f.all {
@@ -159,7 +166,7 @@
 			s.conn.SetReadDeadline(wakeUp)
 		}
 	}
-	for _, s := range f.idle {
+	for s := range f.idlers() {
 		end(s, s.jobs == 1)
 	}
 	for s := range f.all {
@@ -167,11 +174,55 @@
 			n-- // it brings a job or goes before long
 		}
 	}
-	for _, s := range f.idle {
+	for s := range f.idlers() {
 		end(s, s.jobs > 1)
 	}
 }
 
+// idlers goes through the idle connections, the longest idle first.
+func (f *front) idlers() iter.Seq[*submitter] {
+	return func(yield func(*submitter) bool) {
+		for e := f.idle.Front(); e != nil; e = e.Next() {
+			if !yield(e.Value.(*submitter)) {
+				return
+			}
+		}
+	}
+}
+
+// label counts a connection among those of the cell of the job that it has brought,
+// and returns whether that cell may keep it. Until its first job is read nobody can
+// know whose a connection is; from then on no cell's submitters hold more than their
+// part of the descriptors.
+func (f *front) label(s *submitter, job *core.Job) bool {
+	cell, most := f.core.Cell(job.Tenant, job.Key)
+	if cell == "" {
+		return true
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.labelLocked(s, cell)
+	if f.cells[cell] > most {
+		f.counters.Add("accept.cell_full")
+		return false
+	}
+	return true
+}
+
+func (f *front) labelLocked(s *submitter, cell string) {
+	if s.cell == cell {
+		return
+	}
+	if s.cell != "" {
+		if f.cells[s.cell]--; f.cells[s.cell] == 0 {
+			delete(f.cells, s.cell)
+		}
+	}
+	if s.cell = cell; cell != "" {
+		f.cells[cell]++
+	}
+}
+
 // retireLocked ends a connection as soon as it is idle. Only an idle one is woken:
 // a deadline in the past would break the reading of a request.
 func (f *front) retireLocked(s *submitter) {
@@ -187,7 +238,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	s.awaiting = true
-	f.idle = append(f.idle, s)
+	s.idle = f.idle.PushBack(s)
 	if len(f.all) >= f.budget {
 		f.freed.Broadcast()
 	}
@@ -199,9 +250,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	s.awaiting = false
-	if i := slices.Index(f.idle, s); i >= 0 {
-		f.idle = slices.Delete(f.idle, i, i+1)
-	}
+	f.idle.Remove(s.idle)
 }
 
 // prove notes that a connection has brought a job.
--- a/internal/platform/machines.go
+++ b/internal/platform/machines.go
@@ -11,6 +11,8 @@
 	"sync"
 	"time"
 
+	"go.uber.org/zap"
+
 	"github.com/vatu-meals/foxlift"
 	"github.com/vatu-meals/foxlift/internal/config"
 )
@@ -32,6 +34,7 @@
 type machines struct {
 	settings *config.Settings
 	tell     func(foxlift.ListKind, []foxlift.Worker)
+	log      *zap.Logger
 
 	mu       sync.Mutex
 	addr     string
@@ -41,6 +44,7 @@
 	version  int64
 	watching bool
 	conn     net.Conn // the watch's, while an answer is awaited
+	stopped  bool
 }
 
 // A machine is an execute node's entry in the list.
@@ -50,8 +54,8 @@
 	born  time.Time // its process's last start
 }
 
-func newMachines(addr string, s *config.Settings, tell func(foxlift.ListKind, []foxlift.Worker)) *machines {
-	return &machines{addr: addr, settings: s, tell: tell, entries: map[string]machine{}}
+func newMachines(addr string, s *config.Settings, tell func(foxlift.ListKind, []foxlift.Worker), log *zap.Logger) *machines {
+	return &machines{addr: addr, settings: s, tell: tell, log: log, entries: map[string]machine{}}
 }
 
 // A listing is discovery's answer.
@@ -109,6 +113,12 @@
 	return l, nil
 }
 
+// CheckKnown checks the list as last known before the start.
+func CheckKnown(known []byte) error {
+	_, err := parseKnown(known)
+	return err
+}
+
 // load takes the list as last known before the start.
 func (m *machines) load(known []byte) ([]foxlift.Worker, error) {
 	l, err := parseKnown(known)
@@ -174,7 +184,7 @@
 }
 
 func (m *machines) watchLocked() {
-	if !m.watching {
+	if !m.watching && !m.stopped {
 		m.watching = true
 		go m.watch()
 	}
@@ -193,6 +203,16 @@
 	m.watchLocked()
 }
 
+// stop ends the watch for good.
+func (m *machines) stop() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.stopped = true
+	if m.cancel != nil {
+		m.cancel()
+	}
+}
+
 // watch takes the whole list and then its changes, until a call fails. Only after
 // a switch does it try again by itself: what the new discovery has to tell counts
 // as told soon after, and the module's pause could be longer.
@@ -203,8 +223,14 @@
 		addr := m.addr
 		m.cancel = cancel
 		m.mu.Unlock()
-		_ = m.follow(ctx, addr) // whatever ended it, the list is to be asked for again
+		err := m.follow(ctx, addr) // whatever ended it, the list is to be asked for again
 		m.mu.Lock()
+		if m.stopped {
+			m.watching = false
+			m.mu.Unlock()
+			cancel()
+			return
+		}
 		switched := ctx.Err() != nil
 		urgent := time.Now().Before(m.urgent)
 		m.cancel, m.conn = nil, nil
@@ -216,6 +242,7 @@
 		case urgent:
 			<-time.After(switchPause)
 		default:
+			m.log.Warn("the watch on the machine list has ended", zap.String("discovery", addr), zap.Error(err))
 			m.tell(foxlift.ListFailed, nil)
 			return
 		}
--- a/internal/platform/nodes.go
+++ b/internal/platform/nodes.go
@@ -198,6 +198,19 @@
 	}()
 }
 
+// closeAll closes the idle connections to all nodes.
+func (n *nodes) closeAll() {
+	n.mu.Lock()
+	var all []*nodeConn
+	for _, stack := range n.idle {
+		all = append(all, stack...)
+	}
+	n.mu.Unlock()
+	for _, c := range all {
+		n.dropIdle(c)
+	}
+}
+
 // Send implements core.Nodes.
 func (n *nodes) Send(node string, job *core.Job, remaining time.Duration, report func(core.Report)) func() {
 	ctx, withdraw := context.WithCancel(context.Background())
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -5,9 +5,12 @@
 	"net"
 	"time"
 
+	"go.uber.org/zap"
+
 	"github.com/vatu-meals/foxlift/internal/config"
 	"github.com/vatu-meals/foxlift/internal/core"
 	"github.com/vatu-meals/foxlift/internal/counters"
+	"github.com/vatu-meals/foxlift/internal/logging"
 )
 
 // How the descriptors are shared: some are spare, for the list, the listener and
@@ -34,12 +37,14 @@
 type Platform struct {
 	front    *front
 	machines *machines
+	nodes    *nodes
 	core     *core.Core
 }
 
 // Start listens and serves submitters. known is checked before listening.
-func Start(cfg *config.Scheduler, c *core.Core, clock core.Clock, set *counters.Set) (*Platform, error) {
-	list := newMachines(cfg.Discovery, cfg.Settings, c.Machines)
+func Start(cfg *config.Scheduler, c *core.Core, clock core.Clock, set *counters.Set, log *zap.Logger) (*Platform, error) {
+	log = logging.Limited(log) // whatever is logged from here on, others can cause
+	list := newMachines(cfg.Discovery, cfg.Settings, c.Machines, log)
 	workers, err := list.load(cfg.Known)
 	if err != nil {
 		return nil, err
@@ -53,9 +58,10 @@
 		return nil, fmt.Errorf("listen (LB_LISTEN): %w", err)
 	}
 	half := (cfg.Sockets - max(spareLeast, cfg.Sockets/sparePart)) / 2
-	front := newFront(c, clock, set, listener, half)
-	c.Connect(newNodes(list, cfg.Settings, set, half), list, front.mostJobs())
-	p := &Platform{front: front, machines: list, core: c}
+	front := newFront(c, clock, set, log, listener, half)
+	nodes := newNodes(list, cfg.Settings, set, half)
+	c.Connect(nodes, list, front.mostJobs())
+	p := &Platform{front: front, machines: list, nodes: nodes, core: c}
 	c.Start(workers)
 	go p.front.accept()
 	return p, nil
@@ -64,7 +70,7 @@
 // Reload goes over to the discovery of a configuration that has been read again.
 // It checks all of it first; with an error nothing changes.
 func (p *Platform) Reload(cfg *config.Scheduler) error {
-	if _, err := parseKnown(cfg.Known); err != nil {
+	if err := CheckKnown(cfg.Known); err != nil {
 		return err
 	}
 	p.machines.switchTo(cfg.Discovery)
@@ -83,4 +89,20 @@
 	defer first.Stop()
 	p.front.shutDown(moments, stayTime)
 	p.core.Stop()
+	p.machines.stop()
+	p.nodes.closeAll()
+}
+
+// Kill ends everything at once and answers nothing more, as a kill of the process
+// would: for tests and the lab.
+func (p *Platform) Kill() {
+	p.core.Stop()
+	p.front.listener.Close()
+	p.front.mu.Lock()
+	defer p.front.mu.Unlock()
+	for s := range p.front.all {
+		s.conn.Close()
+	}
+	p.machines.stop()
+	p.nodes.closeAll()
 }
--- a/internal/platform/submitter.go
+++ b/internal/platform/submitter.go
@@ -1,6 +1,7 @@
 package platform
 
 import (
+	"container/list"
 	"errors"
 	"fmt"
 	"io"
@@ -11,6 +12,8 @@
 	"sync/atomic"
 	"time"
 
+	"go.uber.org/zap"
+
 	"github.com/vatu-meals/foxlift/internal/core"
 )
 
@@ -38,8 +41,10 @@
 	retire atomic.Bool // to end as soon as it is idle
 
 	// Guarded by front.mu.
-	awaiting bool // the next request has not begun
-	jobs     int  // that it has brought, and calls for the health
+	awaiting bool          // the next request has not begun
+	idle     *list.Element // in front.idle, while awaiting
+	cell     string        // of its last job, where there are cells
+	jobs     int           // that it has brought, and calls for the health
 }
 
 // A waiting is the submitter's wait for the answer to one job.
@@ -126,8 +131,9 @@
 		return s.write(s.refuseInput(input), req.Close)
 	}
 	s.front.prove(s)
+	over := !s.front.label(s, job)
 	answer, left := s.run(job)
-	return s.write(s.word(answer), req.Close || left)
+	return s.write(s.word(answer), req.Close || left || over)
 }
 
 // A reply is an answer as it goes out.
@@ -141,6 +147,7 @@
 
 func (s *submitter) refuseInput(input *badInput) reply {
 	s.front.counters.Add(input.counter)
+	s.front.log.Info("bad input", zap.String("counter", input.counter), zap.String("what", input.text), zap.Stringer("from", s.conn.RemoteAddr()))
 	return say(input.status, input.text)
 }
 
--- /dev/null
+++ b/internal/standin/node.go
@@ -0,0 +1,241 @@
+// Package standin stands in for what a scheduler meets: discovery, execute nodes and
+// submitters, on loopback, for tests, demonstrations and measurements. They speak the
+// platform's protocol from its description, with none of the scheduler's own code,
+// and their logs and tallies are what its promises are held against.
+package standin
+
+import (
+	"bufio"
+	"bytes"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// A Handler answers a request that was read in full, and returns whether the
+// connection goes on.
+type Handler func(c net.Conn, r *http.Request, id string) bool
+
+// A Server answers requests one after another on each of its connections.
+type Server struct {
+	net.Listener
+	Got, Conns atomic.Int64 // requests and connections
+
+	mu   sync.Mutex
+	open map[net.Conn]bool
+}
+
+// Serve answers with handle on a listener, until Close.
+func Serve(l net.Listener, handle Handler) *Server {
+	s := &Server{Listener: l, open: map[net.Conn]bool{}}
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			s.Conns.Add(1)
+			s.mu.Lock()
+			s.open[c] = true
+			s.mu.Unlock()
+			go s.serve(c, handle)
+		}
+	}()
+	return s
+}
+
+func (s *Server) serve(c net.Conn, handle Handler) {
+	defer func() {
+		c.Close()
+		s.mu.Lock()
+		delete(s.open, c)
+		s.mu.Unlock()
+	}()
+	for br := bufio.NewReader(c); ; {
+		r, err := http.ReadRequest(br)
+		if err != nil {
+			return
+		}
+		body, err := io.ReadAll(r.Body)
+		if err != nil {
+			return
+		}
+		r.Body = io.NopCloser(bytes.NewReader(body))
+		s.Got.Add(1)
+		if !handle(c, r, r.Header.Get("X-Txn")) {
+			return
+		}
+	}
+}
+
+// Reset ends all connections as a process that dies does.
+func (s *Server) Reset() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for c := range s.open {
+		if tcp, ok := c.(*net.TCPConn); ok {
+			tcp.SetLinger(0)
+		}
+		c.Close()
+	}
+}
+
+// Listen listens on a free port of loopback.
+func Listen() (net.Listener, error) { return net.Listen("tcp", "127.0.0.1:0") }
+
+// SayStates writes the head of a node's 200 and one chunk for each state; a state may
+// hold more fields behind its name. Without end the body does not end.
+func SayStates(c net.Conn, id string, end bool, states ...string) bool {
+	b := "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+	for _, s := range states {
+		b += chunk(id, s)
+	}
+	if end {
+		b += "0\r\n\r\n"
+	}
+	_, err := io.WriteString(c, b)
+	return err == nil
+}
+
+func chunk(id, state string) string {
+	line := fmt.Sprintf(`{"id":%q,"from":"n","state":%s}`+"\n", id, state)
+	return fmt.Sprintf("%x\r\n%s\r\n", len(line), line)
+}
+
+// A Behaviour is how a Node treats the jobs that reach it.
+type Behaviour struct {
+	Slower   float64 // its jobs take this many times as long; 0 counts as 1
+	Hang     bool    // it takes jobs and answers none
+	Fail     bool    // it answers "failed" at once
+	CutAfter int     // it resets the connection after this many bytes of its answer; 0: never
+}
+
+// A Node is an execute node: slots, a bounded queue in order, and a log of what it
+// really ran.
+type Node struct {
+	Name, Zone, Kind string
+	Work             func(class string) time.Duration // how long a job runs
+	Started          time.Time                        // reported as its start; zero: long ago
+
+	server    *Server
+	slots     chan struct{}
+	room      chan struct{}
+	behaviour atomic.Pointer[Behaviour]
+	mu        sync.Mutex
+	runs      map[string]int
+	tenants   map[string]int
+}
+
+// StartNode starts a node with so many slots and places in its queue.
+func StartNode(name, zone, kind string, slots, queue int, work func(string) time.Duration) (*Node, error) {
+	l, err := Listen()
+	if err != nil {
+		return nil, err
+	}
+	return NodeOn(l, name, zone, kind, slots, queue, work), nil
+}
+
+func NodeOn(l net.Listener, name, zone, kind string, slots, queue int, work func(string) time.Duration) *Node {
+	n := &Node{
+		Name: name, Zone: zone, Kind: kind, Work: work, runs: map[string]int{}, tenants: map[string]int{},
+		slots: make(chan struct{}, slots), room: make(chan struct{}, slots+queue),
+	}
+	n.behaviour.Store(&Behaviour{})
+	n.server = Serve(l, n.handle)
+	return n
+}
+
+// Behave changes how the node treats jobs from now on.
+func (n *Node) Behave(b Behaviour) { n.behaviour.Store(&b) }
+
+// Addr returns where the node listens.
+func (n *Node) Addr() string { return n.server.Addr().String() }
+
+// Crash ends the node as a killed process does.
+func (n *Node) Crash() {
+	n.server.Close()
+	n.server.Reset()
+}
+
+// Runs returns how often each job was begun here.
+func (n *Node) Runs() map[string]int {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	runs := make(map[string]int, len(n.runs))
+	for id, k := range n.runs {
+		runs[id] = k
+	}
+	return runs
+}
+
+// Tenants returns how many jobs of each tenant were begun here.
+func (n *Node) Tenants() map[string]int {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	tenants := make(map[string]int, len(n.tenants))
+	for t, k := range n.tenants {
+		tenants[t] = k
+	}
+	return tenants
+}
+
+func (n *Node) handle(c net.Conn, r *http.Request, id string) bool {
+	b := *n.behaviour.Load()
+	if b.Hang {
+		io.Copy(io.Discard, c) // until the scheduler gives up
+		return false
+	}
+	select {
+	case n.room <- struct{}{}:
+	default:
+		_, err := io.WriteString(c, "HTTP/1.1 503 Full\r\nX-Turned-Away: 1\r\nContent-Length: 0\r\n\r\n")
+		return err == nil
+	}
+	defer func() { <-n.room }()
+	n.slots <- struct{}{}
+	defer func() { <-n.slots }()
+	n.mu.Lock()
+	n.runs[id]++
+	n.tenants[r.Header.Get("X-Org")]++
+	n.mu.Unlock()
+	if b.Fail {
+		return SayStates(c, id, true, `"failed"`)
+	}
+	class, _, _ := strings.Cut(strings.TrimPrefix(r.URL.Path, "/"), "/")
+	w := &cutter{Conn: c, left: b.CutAfter}
+	if !SayStates(w, id, false, `"started"`) {
+		return false
+	}
+	if work := n.Work(class); work > 0 {
+		if b.Slower > 0 {
+			work = time.Duration(float64(work) * b.Slower)
+		}
+		<-time.After(work)
+	}
+	_, err := io.WriteString(w, chunk(id, fmt.Sprintf(`"done","result":"%s of %s by %s\n"`, id, class, n.Name))+"0\r\n\r\n")
+	return err == nil
+}
+
+// A cutter resets a connection once so many bytes have been written.
+type cutter struct {
+	net.Conn
+	left int // 0: never
+}
+
+func (w *cutter) Write(p []byte) (int, error) {
+	if w.left == 0 || len(p) < w.left {
+		w.left = max(0, w.left-len(p))
+		return w.Conn.Write(p)
+	}
+	n, _ := w.Conn.Write(p[:w.left])
+	if tcp, ok := w.Conn.(*net.TCPConn); ok {
+		tcp.SetLinger(0)
+	}
+	w.Conn.Close()
+	return n, net.ErrClosed
+}
