--- /dev/null
+++ b/internal/lab/rig.go
@@ -0,0 +1,242 @@
+// Package lab measures schedulers on loopback: real ones, with their configuration
+// read from files as in service, among stand-ins for all that they meet.
+package lab
+
+import (
+	"encoding/json"
+	"fmt"
+	"math"
+	"os"
+	"path/filepath"
+	"strings"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/vatu-meals/foxlift/internal/control"
+	"github.com/vatu-meals/foxlift/internal/control/controlpb"
+	"github.com/vatu-meals/foxlift/internal/daemon"
+	"github.com/vatu-meals/foxlift/internal/standin"
+)
+
+// A Kind is a kind of execute node.
+type Kind struct {
+	Name  string
+	Count int
+	Slots int
+	Speed float64 // of a slot, against 1
+}
+
+// A Tenant is a tenant with its share of what the fleet can do.
+type Tenant struct {
+	Name  string
+	Share float64
+}
+
+// A World is what a rig is made of.
+type World struct {
+	Schedulers int
+	Kinds      []Kind
+	Zones      []string
+	Tenants    []Tenant
+	Classes    []Class
+	Sockets    int    // descriptors of a scheduler
+	Operator   string // text of the operator's file, with %s for the control socket's path; "": none
+}
+
+// A Class is a class of jobs.
+type Class struct {
+	Name   string
+	Effect string
+	Work   time.Duration // on a slot of speed 1
+	Part   float64       // of the jobs
+	Aim    time.Duration
+	Wait   time.Duration // that its submitters have
+}
+
+// mean is the mean work of a job.
+func (w *World) mean() float64 {
+	sum := 0.0
+	for _, c := range w.Classes {
+		sum += c.Part * c.Work.Seconds()
+	}
+	return sum
+}
+
+// Capacity is how many jobs a second the fleet can run.
+func (w *World) Capacity() float64 {
+	slots := 0.0
+	for _, k := range w.Kinds {
+		slots += float64(k.Count*k.Slots) * k.Speed
+	}
+	return slots / w.mean()
+}
+
+// A Rig is a running world.
+type Rig struct {
+	World
+	Nodes      []*standin.Node
+	Discovery  *standin.Discovery
+	Schedulers []*daemon.Daemon
+	Clients    []controlpb.ControlClient // one for each scheduler, where there is a control socket
+
+	dir string
+	end []func()
+}
+
+// Start starts a world. Close ends it.
+func Start(w World) (r *Rig, err error) {
+	r = &Rig{World: w}
+	defer func() {
+		if err != nil {
+			r.Close()
+		}
+	}()
+	if r.dir, err = os.MkdirTemp("", "foxlift-lab-"); err != nil {
+		return nil, err
+	}
+	work := map[string]time.Duration{}
+	for _, c := range w.Classes {
+		work[c.Name] = c.Work
+	}
+	for _, k := range w.Kinds {
+		for i := range k.Count {
+			speed := k.Speed
+			n, err := standin.StartNode(fmt.Sprintf("%s-%d", k.Name, i), w.Zones[len(r.Nodes)%len(w.Zones)], k.Name, k.Slots, 2*k.Slots,
+				func(class string) time.Duration { return time.Duration(float64(work[class]) / speed) })
+			if err != nil {
+				return nil, err
+			}
+			r.Nodes = append(r.Nodes, n)
+		}
+	}
+	if r.Discovery, err = standin.StartDiscovery(r.Nodes...); err != nil {
+		return nil, err
+	}
+	for i := range w.Schedulers {
+		if err := r.startScheduler(i); err != nil {
+			return nil, err
+		}
+	}
+	return r, nil
+}
+
+// Config writes the platform's configuration of a scheduler and returns its path.
+func (r *Rig) Config(i int) (string, error) {
+	text, err := json.MarshalIndent(map[string]any{
+		"name": fmt.Sprint("n", i), "listen": "127.0.0.1:0", "discovery": r.Discovery.Addr().String(),
+		"seed": fmt.Sprintf("%x", 1000+i), "limits": map[string]any{"memory_mb": 192, "sockets": r.Sockets},
+		"known": json.RawMessage(r.Discovery.Known()), "settings": r.settings(i),
+	}, "", " ")
+	if err != nil {
+		return "", err
+	}
+	path := filepath.Join(r.dir, fmt.Sprintf("config-%d.json", i))
+	return path, os.WriteFile(path, text, 0o600)
+}
+
+func (r *Rig) settings(i int) map[string]any {
+	ns := func(d time.Duration) int64 { return int64(d) }
+	var classes, tenants []map[string]any
+	var kinds []string
+	var stretch []float64
+	for _, c := range r.Classes {
+		classes = append(classes, map[string]any{"name": c.Name, "aim": ns(c.Aim), "deadline": ns(c.Wait), "effect": c.Effect, "gain": 1})
+		stretch = append(stretch, 2)
+	}
+	for _, t := range r.Tenants {
+		tenants = append(tenants, map[string]any{"name": t.Name, "quotaRps": math.Round(t.Share*0.85*r.Capacity()*10) / 10})
+	}
+	for _, k := range r.Kinds {
+		kinds = append(kinds, k.Name)
+	}
+	return map[string]any{
+		"balancers": r.World.Schedulers, "slotNo": i, "discovery": "subscribe", "dcs": r.Zones, "zone": r.Zones[i%len(r.Zones)], "flavors": kinds,
+		"grades": classes, "projects": tenants, "familyInfo": map[string]any{"classStretch": stretch, "tellsStart": true},
+		"bounds": map[string]any{"cancel": true, "secondCopies": true, "retryAfter": true, "maxRetryAfter": ns(2 * time.Second),
+			"maxAttempts": 3, "connIdle": ns(30 * time.Second), "connectTimeout": ns(time.Second), "streamsPerConn": 1},
+		"obligations": map[string]any{"drainGrace": ns(750 * time.Millisecond), "graceToAnswer": ns(8 * time.Millisecond), "mustAskIn": ns(10 * time.Second),
+			"startCapacity": 0.14, "warmAfter": ns(24 * time.Second), "fallMultiple": 3, "fall": ns(time.Second)},
+		"prices": map[string]any{"crossZone": 0.01, "handshake": 0.02},
+	}
+}
+
+func (r *Rig) startScheduler(i int) error {
+	path, err := r.Config(i)
+	if err != nil {
+		return err
+	}
+	operator, socket := "", filepath.Join(r.dir, fmt.Sprintf("control-%d.sock", i))
+	if r.Operator != "" {
+		operator = filepath.Join(r.dir, fmt.Sprintf("operator-%d.sexp", i))
+		if err := os.WriteFile(operator, []byte(fmt.Sprintf(r.Operator, socket)), 0o600); err != nil {
+			return err
+		}
+	}
+	d, err := daemon.Start(daemon.Options{
+		Getenv: func(name string) string {
+			if name == "LB_CONFIG" {
+				return path
+			}
+			return ""
+		},
+		Operator: operator, Log: zap.NewNop(), Version: "lab",
+	})
+	if err != nil {
+		return err
+	}
+	r.Schedulers = append(r.Schedulers, d)
+	if operator != "" {
+		client, end, err := control.Dial(socket)
+		if err != nil {
+			return err
+		}
+		r.Clients = append(r.Clients, client)
+		r.end = append(r.end, func() { end() })
+	}
+	for !d.Core.Ready() {
+		<-time.After(time.Millisecond)
+	}
+	return nil
+}
+
+// Close ends everything.
+func (r *Rig) Close() {
+	for _, end := range r.end {
+		end()
+	}
+	for _, d := range r.Schedulers {
+		d.Kill()
+	}
+	if r.Discovery != nil {
+		r.Discovery.Close()
+		r.Discovery.Reset()
+	}
+	for _, n := range r.Nodes {
+		n.Crash()
+	}
+	if r.dir != "" {
+		os.RemoveAll(r.dir)
+	}
+}
+
+// Runs returns how often each job was begun on any node.
+func (r *Rig) Runs() map[string]int {
+	runs := map[string]int{}
+	for _, n := range r.Nodes {
+		for id, k := range n.Runs() {
+			runs[id] += k
+		}
+	}
+	return runs
+}
+
+// atMostOnce reports whether a job's id says that it must not run twice.
+func (r *Rig) atMostOnce(id string) bool {
+	for _, c := range r.Classes {
+		if c.Effect == "at_most_once" && strings.Contains(id, "/"+c.Name+"/") {
+			return true
+		}
+	}
+	return false
+}
