--- a/cmd/foxlift/operate.go
+++ b/cmd/foxlift/operate.go
@@ -1,7 +1,9 @@
 package main
 
 import (
+	"bytes"
 	"context"
+	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
@@ -109,11 +111,17 @@
 	return nil
 }
 
+// printJSON prints a message as JSON.
 func printJSON(w io.Writer, m proto.Message) error {
-	text, err := protojson.MarshalOptions{Multiline: true, EmitUnpopulated: true, UseProtoNames: true}.Marshal(m)
-	if err == nil {
-		_, err = fmt.Fprintln(w, string(text))
+	text, err := protojson.MarshalOptions{EmitUnpopulated: true, UseProtoNames: true}.Marshal(m)
+	if err != nil {
+		return err
+	}
+	var b bytes.Buffer
+	if err := json.Indent(&b, text, "", "  "); err != nil { // protojson's own spacing differs from build to build
+		return err
 	}
+	_, err = fmt.Fprintln(w, b.String())
 	return err
 }
 
--- a/internal/core/cell_test.go
+++ b/internal/core/cell_test.go
@@ -572,3 +572,86 @@
 		t.Errorf("after its end: %v", err)
 	}
 }
+
+// Hard case 5: two schedulers with lists of different age. Each confines by its own
+// map; the maps differ in few nodes, no node has two modules at either, and they are
+// the same as soon as the lists are.
+func TestListsOfDifferentAge(t *testing.T) {
+	young, old := newCellRig(t, twoCells()), newCellRig(t, twoCells())
+	news := append(young.list(12, 0)[10:], foxlift.Worker{ID: "late", Kind: 0, Zone: 0})
+	news[0].State, news[1].State = foxlift.Draining, foxlift.Gone
+	young.do(machinesTold{foxlift.ListChanges, news})
+	differ := 0
+	for i := range 10 {
+		if id := fmt.Sprint("n", i); young.cellOf(id) != old.cellOf(id) {
+			differ++
+		}
+	}
+	if differ > 3 {
+		t.Errorf("%d of 10 nodes are in other cells for two gone and one new", differ)
+	}
+	for _, r := range []*rig{young, old} {
+		for i := range 10 {
+			before := len(r.nodes)
+			tenant := []string{"t", "u"}[i%2]
+			r.ask(fmt.Sprint("j", i), "reading", tenant, 0)
+			for _, n := range r.nodes[before:] {
+				if r.cellOf(n) != i%2 {
+					t.Errorf("%s's job is out of its cell", tenant)
+				}
+				if r == young && (n == "n10" || n == "n11") {
+					t.Errorf("a job goes to %s", n)
+				}
+			}
+		}
+	}
+	old.do(machinesTold{foxlift.ListChanges, news})
+	for id := range young.known {
+		a, aok := young.scheme.Load().layout.NodeCell(id)
+		b, bok := old.scheme.Load().layout.NodeCell(id)
+		if a != b || aok != bok {
+			t.Errorf("%s is in cell %d at one and %d at the other", id, a, b)
+		}
+	}
+	// One returns with a new id, another restarts: the same map at both again.
+	back := []foxlift.Worker{{ID: "n11b", Kind: 0, Zone: 0}, {ID: "n3", Kind: 0, Zone: 0, Started: young.clock.Now()}}
+	young.do(machinesTold{foxlift.ListChanges, back})
+	old.do(machinesTold{foxlift.ListChanges, back[:1]})
+	old.do(machinesTold{foxlift.ListChanges, back[1:]})
+	if young.cellOf("n11b") != old.cellOf("n11b") || young.cellOf("n3") != old.cellOf("n3") {
+		t.Error("the order of news decides")
+	}
+}
+
+// Hard case 7: what a tenant is lent in its cell is taken back at once: when another
+// returns, the next place that is free is that one's.
+func TestLendingIsTakenBack(t *testing.T) {
+	spec := twoCells()
+	spec.Cells[1].Jobs = 60
+	r := newCellRig(t, spec)
+	n := r.full(t, "u") // all of the cell, far over what the tenant has tokens for
+	if n < 8 {
+		t.Fatalf("only %d jobs are lent a place", n)
+	}
+	for i := range 5 {
+		r.ask(fmt.Sprint("more", i), "reading", "u", 0)
+	}
+	r.ask("back", "reading", "v", 0)
+	if len(r.sent) != n {
+		t.Fatalf("%d claims with %d places", len(r.sent), n)
+	}
+	var next string
+	r.onSend = func(j *Job) {
+		if next == "" {
+			next = j.ID
+		}
+	}
+	for i := 0; next == "" && i < n; i++ {
+		r.sent[i](Report{})
+		r.sent[i](ended(foxlift.Served))
+		r.settle()
+	}
+	if next != "back" {
+		t.Errorf("the next place is %s's", next)
+	}
+}
--- a/internal/daemon/daemon_test.go
+++ b/internal/daemon/daemon_test.go
@@ -192,8 +192,8 @@
 	}
 	for name, text := range map[string]string{
 		"cells.cell a.tenants nobody: ": `(foxlift (control (socket %q)) (cells (cell a (tenants nobody))))`,
-		"control.socket: ":                     `(foxlift (control (socket "/tmp/%s-other")) (cells (cell a)))`,
-		"cells: ":                              `(foxlift (control (socket %q)))`,
+		"control.socket: ":              `(foxlift (control (socket "/tmp/%s-other")) (cells (cell a)))`,
+		"cells: ":                       `(foxlift (control (socket %q)))`,
 	} {
 		w.write(t, w.operator, fmt.Sprintf(text, w.socket))
 		if err := w.Reload(); err == nil || !strings.Contains(err.Error(), name) {
--- a/internal/platform/attempt.go
+++ b/internal/platform/attempt.go
@@ -8,10 +8,14 @@
 	"errors"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"os"
+	"syscall"
 	"time"
 
+	"golang.org/x/sys/unix"
+
 	"github.com/vatu-meals/foxlift"
 	"github.com/vatu-meals/foxlift/internal/core"
 )
@@ -62,7 +66,7 @@
 // exchange writes the job and reads the node's answer. reusable says that the
 // connection is at the start of a new request.
 func (a *attempt) exchange(conn *nodeConn) (r core.Report, reusable bool) {
-	if code := conn.deliver(a.request()); code != foxlift.Served {
+	if code := conn.deliver(a.request(), a.nodes.holdTime(conn, a.job.Class)); code != foxlift.Served {
 		return ended(code), false
 	}
 	return a.receive(conn)
@@ -85,19 +89,17 @@
 }
 
 // deliver writes a request. A node starts on a request's last byte, so that one is
-// held back until the other side has had the time to refuse the rest: a connection
-// that the node has dropped, or drops now, answers the first bytes with a reset, and
-// where the last byte was not written the job never ran.
-func (c *nodeConn) deliver(request []byte) foxlift.Code {
+// held back until it is known, as far as can be, that the other side has not refused
+// the rest: a connection that the node has dropped, or drops now, answers the first
+// bytes with a reset, and where the last byte was not written the job never ran.
+func (c *nodeConn) deliver(request []byte, hold time.Duration) foxlift.Code {
 	last := len(request) - 1
 	if _, err := c.Write(request[:last]); err != nil {
 		return c.broken()
 	}
-	c.SetReadDeadline(time.Now().Add(refusalTime))
-	if err := c.buf.fill(); !errors.Is(err, os.ErrDeadlineExceeded) {
-		return c.broken() // an answer to half a request is of no use either
+	if !c.intact(hold) {
+		return c.broken()
 	}
-	c.SetReadDeadline(time.Time{})
 	if n, err := c.Write(request[last:]); n == 0 {
 		return c.broken()
 	} else if err != nil {
@@ -106,6 +108,57 @@
 	return foxlift.Served
 }
 
+// How long a last byte is held back. On days of dropped connections 58 of 58 resets
+// came within 0.3 ms of the first bytes, on loopback; between machines one takes a
+// round trip. The runtime's timers are no finer than the least. Of 42 connections
+// that had been kept 41 were idle for over 100 ms and one for 6.
+const (
+	holdLeast    = time.Millisecond
+	holdMost     = 3 * time.Millisecond
+	roundTrips   = 2
+	usedRecently = 5 * time.Millisecond
+)
+
+// holdTime is how long the next last byte on a connection is to be held back; 0 where
+// it was in use a moment ago and a job of the class may run twice, so that a look
+// without a wait will do.
+func (n *nodes) holdTime(c *nodeConn, class string) time.Duration {
+	if n.repeatable[class] && !c.since.IsZero() && time.Since(c.since) < usedRecently {
+		return 0
+	}
+	return min(holdMost, max(holdLeast, roundTrips*roundTrip(c.Conn)))
+}
+
+// intact reports whether nothing has come on the connection, and it has not ended,
+// by the end of a wait. An answer to half a request is of no use either.
+func (c *nodeConn) intact(wait time.Duration) bool {
+	if wait == 0 {
+		return c.buf.fillNow() && c.buf.buffered() == 0
+	}
+	c.SetReadDeadline(time.Now().Add(wait))
+	err := c.buf.fill()
+	c.SetReadDeadline(time.Time{})
+	return errors.Is(err, os.ErrDeadlineExceeded)
+}
+
+// roundTrip is what the kernel has measured of a connection; 0 if it cannot tell.
+func roundTrip(conn net.Conn) (rtt time.Duration) {
+	sc, ok := conn.(syscall.Conn)
+	if !ok {
+		return 0
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return 0
+	}
+	raw.Control(func(fd uintptr) {
+		if info, err := unix.GetsockoptTCPInfo(int(fd), unix.SOL_TCP, unix.TCP_INFO); err == nil {
+			rtt = time.Duration(info.Min_rtt) * time.Microsecond // the mean has waits for late acknowledgements in it
+		}
+	})
+	return rtt
+}
+
 // broken says what a connection that breaks before a request's last byte tells: that
 // the node cannot be reached, or, if it was kept from an earlier request, nothing.
 func (c *nodeConn) broken() foxlift.Code {
@@ -115,9 +168,6 @@
 	return foxlift.NotSent
 }
 
-// refusalTime is how long a request's last byte is held back: some round trips.
-const refusalTime = 3 * time.Millisecond
-
 // request writes the job as the node reads it.
 func (a *attempt) request() []byte {
 	p := a.job.Payload.(*payload)
--- a/internal/platform/nodes.go
+++ b/internal/platform/nodes.go
@@ -32,6 +32,8 @@
 	loadNames []string
 	budget    int
 
+	repeatable map[string]bool // classes whose jobs may run twice
+
 	mu   sync.Mutex
 	open int                    // connections and dials
 	idle map[string][]*nodeConn // by address, the newest last
@@ -51,6 +53,10 @@
 	n := &nodes{
 		find: list.find, counters: set, connect: defaultConnect, idleLimit: defaultIdle, budget: budget,
 		withLoad: len(s.GaugeNames) > 0, loadNames: s.GaugeNames, idle: map[string][]*nodeConn{},
+		repeatable: map[string]bool{},
+	}
+	for _, k := range s.Module.Classes {
+		n.repeatable[k.Name] = k.Effect == foxlift.Idempotent
 	}
 	if s.ConnectTimeout > 0 {
 		n.connect = time.Duration(s.ConnectTimeout)
--- a/internal/platform/rules_test.go
+++ b/internal/platform/rules_test.go
@@ -829,3 +829,39 @@
 	check(t, "not sent", set.Get("claims.not_sent"), int64(2))
 	check(t, "served", served, 2)
 }
+
+// The last byte is held for jobs that must not run twice, and on connections that were
+// idle for a while; a connection in use a moment ago is looked at without a wait, and
+// one that has been dropped by then is seen all the same.
+func TestHoldTime(t *testing.T) {
+	n := &nodes{repeatable: map[string]bool{"reading": true}}
+	l := listen(t)
+	conn, err := net.Dial("tcp", l.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	other, err := l.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	c := &nodeConn{Conn: conn, buf: buffer{conn: conn}}
+	for what, w := range map[string]struct {
+		class string
+		since time.Time
+		held  bool
+	}{
+		"new": {"reading", time.Time{}, true}, "recent": {"reading", time.Now().Add(time.Hour), false},
+		"idle": {"reading", time.Now().Add(-time.Second), true}, "at most once": {"ratify", time.Now().Add(time.Hour), true},
+	} {
+		c.since = w.since
+		if hold := n.holdTime(c, w.class); (hold > 0) != w.held || hold > holdMost {
+			t.Errorf("%s: held for %v", what, hold)
+		}
+	}
+	c.since = time.Now()
+	check(t, "deliver", c.deliver([]byte("some bytes"), 0), foxlift.Served)
+	other.Close()
+	await(t, "the end arrives", func() bool { return !c.buf.fillNow() })
+	check(t, "deliver after the end", c.deliver([]byte("some bytes"), 0), foxlift.NotSent)
+}
