--- a/api.go
+++ b/api.go
@@ -86,6 +86,10 @@
 // MaxGauges is the most values that a load report may hold.
 const MaxGauges = 4
 
+// MaxDispatchers is the most dispatchers that may share a fleet: each keeps a little of
+// every other.
+const MaxDispatchers = 1000
+
 // Prices say what each unit costs, as a fraction of a request's worth.
 type Prices struct {
 	CrossZone float64 // an attempt that leaves the zone
@@ -153,6 +157,9 @@
 	if c.Dispatchers < 1 {
 		return errors.New("foxlift: Dispatchers is under 1")
 	}
+	if c.Dispatchers > MaxDispatchers {
+		return errors.New("foxlift: Dispatchers is over MaxDispatchers")
+	}
 	if c.Index < 0 || c.Index >= c.Dispatchers {
 		return errors.New("foxlift: Index is not under Dispatchers")
 	}
--- a/internal/cells/plan.go
+++ b/internal/cells/plan.go
@@ -228,7 +228,9 @@
 }
 
 // choose picks one of some cells (nil: of all) by weighted rendezvous: the chance
-// of each is its share, and a cell more or less moves only what it wins or loses.
+// of each is its share, and a cell more or less moves only what it wins or loses. The
+// score of a pair is -w / ln(u) with u uniform in (0, 1) (Schindelhauer and
+// Schomaker, 2005).
 func (p *Plan) choose(hash uint64, among place) int {
 	best, most := 0, 0.0
 	n := len(among)
@@ -251,12 +253,6 @@
 	return best
 }
 
-// score is the weighted rendezvous score of a pair: -w / ln(u) with u uniform in
-// (0, 1) (Schindelhauer and Schomaker, 2005).
-func score(a, b uint64, weight float64) float64 {
-	return -weight / math.Log(uniform(a^b))
-}
-
 // uniform makes a hash a number over 0 and under 1.
 func uniform(x uint64) float64 { return (float64(mix(x)>>11) + 0.5) / (1 << 53) }
 
--- /dev/null
+++ b/internal/config/fuzz_test.go
@@ -0,0 +1,193 @@
+package config
+
+import (
+	"errors"
+	"fmt"
+	"os"
+	"strconv"
+	"strings"
+	"testing"
+
+	"github.com/vatu-meals/foxlift"
+	"github.com/vatu-meals/foxlift/internal/fuzz"
+)
+
+// print writes forms as text that reads the same.
+func printSexps(values []*sexp) string {
+	var words []string
+	for _, v := range values {
+		switch {
+		case v.Word != nil:
+			words = append(words, *v.Word)
+		case v.Text != nil:
+			words = append(words, strconv.Quote(*v.Text))
+		default:
+			words = append(words, "("+printSexps(v.List.Values)+")")
+		}
+	}
+	return strings.Join(words, " ")
+}
+
+// checkOperator: any text is either read or refused with faults that have a place;
+// what is read reads the same when printed; a plan that is taken is sound.
+func checkOperator(t testing.TB, data []byte) {
+	r := &reader{file: "f"}
+	if values := r.parse(data); len(r.faults) == 0 {
+		text := printSexps(values)
+		again := &reader{file: "f"}
+		if twice := printSexps(again.parse([]byte(text))); len(again.faults) > 0 || twice != text {
+			t.Fatalf("%q is printed %q, then %q, %v", data, text, twice, again.faults)
+		}
+	}
+	op, err := ParseOperator("f", data, fuzzSettings)
+	if faults := (Faults)(nil); err != nil && (!errors.As(err, &faults) || len(faults) == 0) {
+		t.Fatalf("%q: %v", data, err)
+	} else if err != nil {
+		for i, f := range faults {
+			if f.Text == "" || f.File != "f" || i > 0 && f.Line < faults[i-1].Line {
+				t.Fatalf("%q: fault %d of %v", data, i, faults)
+			}
+		}
+		return
+	}
+	if op.Cells == nil {
+		return
+	}
+	sum := 0.0
+	for c := range op.Cells.Cells() {
+		share := op.Cells.Share(c)
+		sum += share
+		if !(share > 0) || op.Cells.JobBound(c, 100) < 1 || op.Cells.ConnectionBound(c, 100) < 1 {
+			t.Fatalf("%q: cell %d has share %v, bounds %d and %d", data, c, share, op.Cells.JobBound(c, 100), op.Cells.ConnectionBound(c, 100))
+		}
+	}
+	if sum < 0.999 || sum > 1.001 {
+		t.Fatalf("%q: shares add up to %v", data, sum)
+	}
+}
+
+var fuzzSettings = func() *Settings {
+	s, err := ParseSettings([]byte(settingsText))
+	if err != nil {
+		panic(err)
+	}
+	return s
+}()
+
+const settingsText = `{"balancers":2,"slotNo":1,"discovery":"subscribe","dcs":["a","b"],"zone":"a","flavors":["k","l"],
+ "grades":[{"name":"r","aim":1,"deadline":2,"effect":"idempotent"},{"name":"s","aim":1,"deadline":2,"effect":"deduplicated","dedupScope":"zone","keyTtl":5}],
+ "projects":[{"name":"t","quotaRps":2.5},{"name":"u","quotaRps":0}],"report":{"names":["x0","backlog"]},
+ "familyInfo":{"classKind":[0,-1],"classStretch":[2.5],"reportX0":"free slots"},"bounds":{"maxAttempts":3,"connIdle":30},"obligations":{"warmAfter":7}}`
+
+func operatorSeeds() [][]byte {
+	example, err := os.ReadFile("../../deploy/operator.example.sexp")
+	if err != nil {
+		panic(err)
+	}
+	seeds := [][]byte{example}
+	for _, s := range []string{
+		`(foxlift (cells (default a) (key (nodes 2) (jobs 3)) (kind k (weight 2)) (cell a (share 0.5) (tenants t)) (cell b (jobs 5) (when-unable spill a 0.5))))`,
+		`(foxlift (control (socket "/tmp/\"x\n")) (cells (cell a) (split t (cells a a) (by key))))`, `(foxlift (cells (cell a (share 1)) (cell b (share 1))))`,
+		`(foxlift (cells (cell a (share 1)) (cell b)))`, "(foxlift ; comment\n)", `()`, `("a" b (c))`, `(foxlift (cells (cell "") (cell a (share NaN))))`, strings.Repeat("(", 40), `"\`,
+	} {
+		seeds = append(seeds, []byte(s))
+	}
+	return seeds
+}
+
+func FuzzOperator(f *testing.F) {
+	for _, s := range operatorSeeds() {
+		f.Add(s)
+	}
+	f.Fuzz(func(t *testing.T, data []byte) { checkOperator(t, data) })
+}
+
+func TestFuzzOperator(t *testing.T) { fuzz.Play(t, 11, 8000, operatorSeeds(), checkOperator) }
+
+// checkSettings: settings are refused with a word for it, or make tables that agree
+// with what the module is told.
+func checkSettings(t testing.TB, data []byte) {
+	s, err := ParseSettings(data)
+	if err == nil {
+		err = s.checkReal()
+	}
+	if err != nil {
+		if err.Error() == "" {
+			t.Fatalf("%q: an error without words", data)
+		}
+		return
+	}
+	for name, i := range s.Classes {
+		if i < 0 || i >= len(s.Module.Classes) || s.Module.Classes[i].Name != name {
+			t.Fatalf("%q: class %q is %d", data, name, i)
+		}
+	}
+	for name, i := range s.Tenants {
+		if i < 0 || i >= len(s.Module.Tenants) || s.Module.Tenants[i].Name != name {
+			t.Fatalf("%q: tenant %q is %d", data, name, i)
+		}
+	}
+	for i, c := range s.Module.Classes {
+		if c.Aim <= 0 || c.Deadline <= 0 || c.Kind < -1 || c.Stretch < 0 || c.KeyTTL < 0 {
+			t.Fatalf("%q: class %d is %+v", data, i, c)
+		}
+	}
+	c := s.Module
+	if c.Dispatchers < 1 || c.Dispatchers > foxlift.MaxDispatchers || c.Index >= c.Dispatchers || c.WarmAfter < 0 || c.MaxAttempts < 0 {
+		t.Fatalf("%q: %+v", data, c)
+	}
+	for _, share := range []float64{c.StartCapacity, c.FallMultiple, c.Prices.CrossZone, c.Prices.Handshake, c.Prices.Fetch} {
+		if !(share >= 0) {
+			t.Fatalf("%q: a negative figure in %+v", data, c)
+		}
+	}
+}
+
+func settingsSeeds() [][]byte {
+	seeds := [][]byte{[]byte(settingsText)}
+	for _, s := range []string{
+		`{"grades":[{"name":"r","aim":1,"deadline":9223372036854775807,"effect":"idempotent","aimStretch":-1}]}`,
+		`{"balancers":1000000000000,"grades":[{"name":"r","aim":1,"deadline":1,"effect":"idempotent"}]}`,
+		`{"grades":[{"name":"r","aim":1,"deadline":1,"effect":"idempotent"}],"obligations":{"startCapacity":-1}}`,
+		`{"grades":[{"name":"r","aim":1,"deadline":1,"effect":"deduplicated","keyTtl":-1}]}`, `{"grades":1e400}`, `{"flavors":["k","k"],"grades":[]}`, `null`, `[]`,
+	} {
+		seeds = append(seeds, []byte(s))
+	}
+	return seeds
+}
+
+func FuzzSettings(f *testing.F) {
+	for _, s := range settingsSeeds() {
+		f.Add(s)
+	}
+	f.Fuzz(func(t *testing.T, data []byte) { checkSettings(t, data) })
+}
+
+func TestFuzzSettings(t *testing.T) { fuzz.Play(t, 12, 10000, settingsSeeds(), checkSettings) }
+
+// The whole file, with the variables above it: an error names a key, what is taken is
+// within the limits.
+func TestFuzzFile(t *testing.T) {
+	example, err := os.ReadFile("../../examples/config.json")
+	if err != nil {
+		t.Fatal(err)
+	}
+	path := t.TempDir() + "/config.json"
+	seeds := [][]byte{example, []byte(strings.Replace(string(example), `"memory_mb": 192`, `"memory_mb": 1e300`, 1)),
+		[]byte(strings.Replace(string(example), `"sockets": 1024`, `"sockets": -1`, 1))}
+	fuzz.Play(t, 13, 1500, seeds, func(t testing.TB, data []byte) {
+		if err := os.WriteFile(path, data, 0o600); err != nil {
+			t.Fatal(err)
+		}
+		s, err := Load(func(name string) string { return map[string]string{"LB_CONFIG": path}[name] })
+		if err != nil {
+			if !strings.Contains(err.Error(), ": ") {
+				t.Fatalf("%q: %v names no key", data, err)
+			}
+			return
+		}
+		if s.MemoryMB < minMemoryMB || s.MemoryMB > maxMemoryMB || s.Sockets < minSockets || s.Sockets > maxSockets {
+			t.Fatalf("%q: %s", data, fmt.Sprint(s.MemoryMB, s.Sockets))
+		}
+	})
+}
--- a/internal/config/settings.go
+++ b/internal/config/settings.go
@@ -9,6 +9,7 @@
 	"math"
 	"slices"
 	"strings"
+	"time"
 
 	"github.com/vatu-meals/foxlift"
 )
@@ -263,6 +264,9 @@
 	return fmt.Errorf("not JSON: %w", err)
 }
 
+// maxTime bounds every time in the settings: sums and multiples of them stay numbers.
+const maxTime = int64(30 * 24 * time.Hour)
+
 // checkReal holds the checks that only the real scheduler makes: the simulator's
 // adapter leaves them to the module.
 func (s *Settings) checkReal() error {
@@ -270,6 +274,8 @@
 	switch {
 	case len(c.Classes) == 0:
 		return errors.New("grades: none given")
+	case c.Dispatchers > foxlift.MaxDispatchers:
+		return fmt.Errorf("balancers: over %d", foxlift.MaxDispatchers)
 	case c.Index < 0 || c.Index >= c.Dispatchers:
 		return errors.New("slotNo: not under balancers")
 	case s.Discovery != "" && !slices.Contains(discoveries, s.Discovery):
@@ -288,6 +294,12 @@
 			return fmt.Errorf("grades[%d].aim: must be over 0", i)
 		case k.Deadline <= 0:
 			return fmt.Errorf("grades[%d].deadline: must be over 0", i)
+		case k.Stretch < 0:
+			return fmt.Errorf("grades[%d].aimStretch, familyInfo.classStretch[%d]: negative", i, i)
+		case k.KeyTTL < 0:
+			return fmt.Errorf("grades[%d].keyTtl: negative", i)
+		case max(k.Aim, k.Deadline, k.KeyTTL) > maxTime:
+			return fmt.Errorf("grades[%d]: a time of over %v", i, time.Duration(maxTime))
 		case k.Kind < -1 || k.Kind >= max(1, len(s.Kinds)):
 			return fmt.Errorf("familyInfo.classKind[%d]: no such kind", i)
 		}
@@ -313,6 +325,20 @@
 		if f.time < 0 {
 			return fmt.Errorf("%s: negative", f.key)
 		}
+		if f.time > maxTime {
+			return fmt.Errorf("%s: over %v", f.key, time.Duration(maxTime))
+		}
+	}
+	for _, f := range []struct {
+		key    string
+		figure float64
+	}{
+		{"obligations.startCapacity", c.StartCapacity}, {"obligations.fallMultiple", c.FallMultiple},
+		{"prices.crossZone", c.Prices.CrossZone}, {"prices.handshake", c.Prices.Handshake}, {"prices.origin", c.Prices.Fetch},
+	} {
+		if f.figure < 0 {
+			return fmt.Errorf("%s: negative", f.key)
+		}
 	}
 	if len(c.Gauges) > foxlift.MaxGauges {
 		return fmt.Errorf("report.names: more than %d", foxlift.MaxGauges)
--- a/internal/control/control_test.go
+++ b/internal/control/control_test.go
@@ -29,9 +29,9 @@
 func (nothing) Probe(string, func(core.Report))                                 {}
 func (nothing) Watch()                                                          {}
 
-// start runs a core with two cells and four nodes behind a control socket.
-func start(t *testing.T) (*Server, string, controlpb.ControlClient) {
-	t.Helper()
+// newServer returns a server, which does not listen yet, of a core with two cells and
+// eight nodes.
+func newServer(t testing.TB) *Server {
 	s, err := config.ParseSettings([]byte(`{"dcs":["a"],"flavors":["k"],"grades":[{"name":"r","aim":1,"deadline":1,"effect":"idempotent"}],
 		"projects":[{"name":"t","quotaRps":1},{"name":"u","quotaRps":1}]}`))
 	if err != nil {
@@ -52,8 +52,14 @@
 		list = append(list, foxlift.Worker{ID: fmt.Sprint("n", i)})
 	}
 	c.Start(list)
-	t.Cleanup(c.Stop)
-	srv := &Server{Core: c, Settings: s, Counters: set, Name: "x", Version: "v"}
+	return &Server{Core: c, Settings: s, Counters: set, Name: "x", Version: "v"}
+}
+
+// start runs one behind a control socket.
+func start(t *testing.T) (*Server, string, controlpb.ControlClient) {
+	t.Helper()
+	srv := newServer(t)
+	t.Cleanup(srv.Core.Stop)
 	path := filepath.Join(t.TempDir(), "c.sock")
 	if err := srv.Start(path); err != nil {
 		t.Fatal(err)
--- /dev/null
+++ b/internal/control/fuzz_test.go
@@ -0,0 +1,83 @@
+package control
+
+import (
+	"context"
+	"sync"
+	"testing"
+
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/vatu-meals/foxlift/internal/control/controlpb"
+	"github.com/vatu-meals/foxlift/internal/fuzz"
+)
+
+var (
+	fuzzOnce   sync.Once
+	fuzzServer *Server
+)
+
+// fuzzed is one server for all inputs: what one leaves behind the next meets.
+func fuzzed(t testing.TB) *Server {
+	fuzzOnce.Do(func() { fuzzServer = newServer(t) })
+	return fuzzServer
+}
+
+// checkCall: whatever bytes a caller sends as a message, the answer is a change that
+// adds up or an error in gRPC's terms that is no surprise, and the map stays whole.
+func checkCall(t testing.TB, data []byte) {
+	s, ctx := fuzzed(t), context.Background()
+	var errs []error
+	call := func(m proto.Message, do func() error) {
+		if proto.Unmarshal(data, m) == nil {
+			errs = append(errs, do())
+		}
+	}
+	var move controlpb.MoveRequest
+	var evacuate controlpb.EvacuateRequest
+	var restore controlpb.RestoreRequest
+	call(&move, func() error { return second(s.Move(ctx, &move)) })
+	call(&evacuate, func() error { return second(s.Evacuate(ctx, &evacuate)) })
+	call(&restore, func() error { return second(s.Restore(ctx, &restore)) })
+	for _, err := range errs {
+		switch status.Code(word(err)) {
+		case codes.OK, codes.NotFound, codes.FailedPrecondition:
+		default:
+			t.Fatalf("%q: %v", data, err)
+		}
+	}
+	r, err := s.Cells(ctx, &controlpb.CellsRequest{})
+	if err != nil {
+		t.Fatalf("%q: %v", data, err)
+	}
+	tenants, nodes := 0, 0
+	for _, c := range r.Cells {
+		tenants += len(c.Tenants)
+		nodes += len(c.Nodes)
+	}
+	if tenants != 2 || nodes != 8 {
+		t.Fatalf("%q: %d tenants and %d nodes are left of 2 and 8", data, tenants, nodes)
+	}
+}
+
+func callSeeds() (seeds [][]byte) {
+	for _, m := range []proto.Message{
+		&controlpb.MoveRequest{Tenant: "t", Cell: "b"}, &controlpb.MoveRequest{Tenant: "t", Cell: "a"}, &controlpb.MoveRequest{Tenant: "u", Cell: "a"},
+		&controlpb.EvacuateRequest{Cell: "a"}, &controlpb.EvacuateRequest{Cell: "b"}, &controlpb.RestoreRequest{}, &controlpb.RestoreRequest{Tenant: "t"},
+		&controlpb.RestoreRequest{Cell: "b"}, &controlpb.MoveRequest{},
+	} {
+		b, _ := proto.Marshal(m)
+		seeds = append(seeds, b)
+	}
+	return append(seeds, []byte("\xff\xff\xff\xff\xff"), []byte("\x0a\x01t\x12\x01b\x1a\x00"))
+}
+
+func FuzzCall(f *testing.F) {
+	for _, s := range callSeeds() {
+		f.Add(s)
+	}
+	f.Fuzz(func(t *testing.T, data []byte) { checkCall(t, data) })
+}
+
+func TestFuzzCall(t *testing.T) { fuzz.Play(t, 31, 3000, callSeeds(), checkCall) }
--- a/internal/core/cell_test.go
+++ b/internal/core/cell_test.go
@@ -479,6 +479,34 @@
 	}
 }
 
+// An id that is in use is bad input also where its cell is full: a refusal would
+// promise that another try is harmless. Found by TestModel.
+func TestRepeatedIDAtAFullGate(t *testing.T) {
+	r := newCellRig(t, twoCells())
+	take := func(id string) *asked {
+		a := &asked{}
+		r.TakeIn(&Job{ID: id, Class: "ratify", Tenant: "t", Arrived: r.clock.Now(), Remaining: time.Second, Submitter: a})
+		r.settle()
+		return a
+	}
+	first := take("j")
+	for i := 0; r.counters.Get("jobs.cell_full") == 0; i++ {
+		take(fmt.Sprint("fill", i))
+	}
+	if a := take("j"); len(a.got) != 1 || a.got[0].Verdict != Rejected {
+		t.Errorf("in use: %+v", a.got)
+	}
+	r.sent[0](ended(foxlift.Served))
+	r.settle()
+	if a := take("j"); len(first.got) != 1 || len(a.got) != 1 || a.got[0].Verdict != Rejected {
+		t.Errorf("answered: %+v", a.got)
+	}
+	r.do(idForgotten{"j"})
+	if a := take("j"); len(a.got) == 1 && a.got[0].Verdict == Rejected {
+		t.Errorf("forgotten: %+v", a.got)
+	}
+}
+
 // Hard case 8: a key that floods is held to a few nodes and a few jobs; others of the
 // same tenant and class go past it.
 func TestKeyFlood(t *testing.T) {
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -13,6 +13,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/puzpuzpuz/xsync/v4"
+
 	"github.com/vatu-meals/foxlift"
 	"github.com/vatu-meals/foxlift/internal/cells"
 	"github.com/vatu-meals/foxlift/internal/config"
@@ -80,7 +82,8 @@
 	assigner *cells.Assigner
 	keys     map[keyIn]int // open jobs by key and cell, where the plan bounds them
 
-	scheme atomic.Pointer[scheme] // nil without cells; any goroutine may read it
+	scheme atomic.Pointer[scheme]       // nil without cells; any goroutine may read it
+	ids    *xsync.Map[string, struct{}] // in use or in recent, with cells: what TakeIn knows before the core does
 }
 
 // New returns a Core, with cells where there is a plan of them. Its parts are set by
@@ -91,6 +94,7 @@
 		inbox: make(chan event, 1024), stopped: make(chan struct{}),
 		jobs: map[uint64]*job{}, open: map[string]*job{}, recent: map[string]bool{},
 		known: map[string]*entry{}, keys: map[keyIn]int{},
+		ids: xsync.NewMap[string, struct{}](),
 	}
 	for _, k := range s.Module.Classes {
 		c.longest = max(c.longest, k.Deadline)
@@ -165,12 +169,22 @@
 // has no room, at once and on the caller's goroutine, so that a flood of one cell
 // does not even stand in the way of the others' events.
 func (c *Core) TakeIn(j *Job) {
-	if s := c.scheme.Load(); s != nil && !s.enter(c, j) {
-		c.counters.Add("jobs.taken")
-		c.counters.Add("jobs.refused")
-		c.counters.Add("jobs.cell_full")
-		j.Submitter.Answer(Answer{Verdict: Refused, RetryAfter: c.fullRetry()})
-		return
+	if s := c.scheme.Load(); s != nil {
+		// An id that is in use first: to refuse it would promise that another try is
+		// harmless, while the job that has it runs.
+		if _, there := c.ids.LoadOrStore(j.ID, struct{}{}); there {
+			c.counters.Add("jobs.rejected")
+			j.Submitter.Answer(Answer{Verdict: Rejected, Reason: repeatedID})
+			return
+		}
+		if !s.enter(c, j) {
+			c.ids.Delete(j.ID)
+			c.counters.Add("jobs.taken")
+			c.counters.Add("jobs.refused")
+			c.counters.Add("jobs.cell_full")
+			j.Submitter.Answer(Answer{Verdict: Refused, RetryAfter: c.fullRetry()})
+			return
+		}
 	}
 	c.post(jobArrived{j})
 }
--- /dev/null
+++ b/internal/core/model_test.go
@@ -0,0 +1,533 @@
+package core
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/anishathalye/porcupine"
+	"pgregory.net/rapid"
+
+	"github.com/vatu-meals/foxlift"
+	"github.com/vatu-meals/foxlift/internal/cells"
+	"github.com/vatu-meals/foxlift/internal/config"
+	"github.com/vatu-meals/foxlift/internal/counters"
+)
+
+// A model of the whole scheduler: core, module and cells, driven from outside through
+// Nodes, MachineList and Submitter by fakes, on virtual time (testing/synctest: a
+// bubble whose clock moves when all goroutines wait, and which does not end while one
+// is left). A script of random actions is played; what must always hold is checked as
+// it happens and at the end, and the histories are held against a register that may
+// be written once.
+
+const modelSettings = `{"balancers":2,"slotNo":0,"discovery":"subscribe","dcs":["a","b"],"zone":"a","flavors":["k","l"],
+ "grades":[{"name":"reading","aim":300000000,"deadline":5000000000,"effect":"idempotent"},
+  {"name":"ratify","aim":800000000,"deadline":8000000000,"effect":"at_most_once"},
+  {"name":"seal","aim":500000000,"deadline":5000000000,"effect":"deduplicated","dedupScope":"zone","keyTtl":2000000000}],
+ "projects":[{"name":"t","quotaRps":20},{"name":"u","quotaRps":5},{"name":"v","quotaRps":0.5}],
+ "bounds":{"cancel":true,"secondCopies":true,"retryAfter":true,"maxRetryAfter":2000000000,"maxAttempts":3,"maxOpen":40},
+ "obligations":{"startCapacity":0.14,"warmAfter":24000000000,"fallMultiple":3,"fall":1000000000,"mustAskIn":10000000000},
+ "familyInfo":{"tellsStart":true,"progress":1000000000}}`
+
+const (
+	modelNodes    = 6
+	modelAttempts = 3
+	modelLongest  = 8 * time.Second // of the classes' deadlines
+	drainGrace    = 750 * time.Millisecond
+)
+
+var modelClasses = []string{"reading", "ratify", "seal"}
+var modelTenants = []string{"t", "u", "v"}
+
+// An act is one action of a script; what a, b and c mean depends on its kind.
+type act struct{ kind, a, b, c int }
+
+const (
+	actSubmit = iota
+	actRepeat
+	actLeave
+	actEnd
+	actNote
+	actEndAgain
+	actList
+	actWait
+	actMove
+	actEvacuate
+	actRestore
+	actReplan
+	actFinish
+	actKinds
+)
+
+func modelPlans() []*cells.Spec {
+	return []*cells.Spec{
+		{Cells: []cells.Cell{{Name: "a", Tenants: []string{"t"}, Spill: "b", SpillPart: 0.2}, {Name: "b", Tenants: []string{"u"}}}, KeyNodes: 1, KeyJobs: 3},
+		{Cells: []cells.Cell{{Name: "b", Tenants: []string{"t", "u"}}, {Name: "c", Share: 0.4, Tenants: []string{"v"}}}},
+		{Cells: []cells.Cell{{Name: "a"}, {Name: "b"}, {Name: "c"}}, Splits: []cells.Split{{Tenant: "t", Cells: []string{"a", "c"}}}},
+	}
+}
+
+// A world is what the fakes know.
+type world struct {
+	core    *Core
+	began   time.Time
+	jobs    []*modelJob
+	claims  []*modelClaim
+	drained map[string]time.Time // nodes that were told to be not live, since when
+
+	mu     sync.Mutex // the core's goroutine calls the fakes
+	broken []string
+}
+
+type modelJob struct {
+	*Job
+	world   *world
+	asked   time.Duration
+	answers []Answer
+	at      time.Duration // of the first answer
+}
+
+type modelClaim struct {
+	job    *modelJob
+	node   string
+	sent   time.Duration
+	ended  bool
+	code   foxlift.Code
+	ran    bool
+	end    time.Duration
+	report func(Report)
+}
+
+func (w *world) now() time.Duration { return time.Since(w.began) }
+
+func (w *world) breaks(format string, args ...any) {
+	w.broken = append(w.broken, fmt.Sprintf("%v: ", w.now())+fmt.Sprintf(format, args...))
+}
+
+// provesNothingRan is the protocol's table of endings, written again: the model must
+// not believe what it judges.
+var provesNothingRan = map[foxlift.Code]bool{foxlift.Full: true, foxlift.Unreachable: true, foxlift.NotSent: true}
+
+// sameAs reports whether two submissions count as one job: an id is remembered while it
+// is in use and for the longest deadline after its answer, no longer.
+func (j *modelJob) sameAs(o *modelJob) bool {
+	if j.at > o.at && len(o.answers) > 0 {
+		j, o = o, j
+	}
+	return j == o || j.ID == o.ID && (len(j.answers) == 0 || o.asked < j.at+modelLongest)
+}
+
+// mayHaveRun is the truth as the scheduler can know it. It goes by id: what a front
+// takes twice must not run twice either.
+func (w *world) mayHaveRun(j *modelJob) bool {
+	for _, c := range w.claims {
+		if c.job.sameAs(j) && c.job.Class == "ratify" && (!c.ended || !provesNothingRan[c.code]) {
+			return true
+		}
+	}
+	return false
+}
+
+// Answer implements Submitter.
+func (j *modelJob) Answer(a Answer) {
+	w := j.world
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if len(j.answers) == 0 {
+		j.at = w.now()
+	}
+	j.answers = append(j.answers, a)
+	if a.Verdict == Refused && j.Class == "ratify" && w.mayHaveRun(j) {
+		w.breaks("%s is told that another try is harmless, and may have run", j.ID)
+	}
+	if a.Verdict == Refused && a.RetryAfter > 2*time.Second {
+		w.breaks("%s is told to wait %v", j.ID, a.RetryAfter)
+	}
+}
+
+// Send implements Nodes.
+func (w *world) Send(node string, job *Job, remaining time.Duration, report func(Report)) func() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	j := job.Submitter.(*modelJob)
+	sent := 0
+	for _, c := range w.claims {
+		if c.job == j {
+			sent++
+		}
+	}
+	if sent >= modelAttempts {
+		w.breaks("%s is sent for the %dth time", j.ID, sent+1)
+	}
+	if j.Class == "ratify" && w.mayHaveRun(j) {
+		w.breaks("%s is sent again, and may have run", j.ID)
+	}
+	if len(j.answers) > 0 {
+		w.breaks("%s is sent after its answer", j.ID)
+	}
+	if since, ok := w.drained[node]; ok && time.Since(since) > drainGrace {
+		w.breaks("%s is sent to %s, which drains for %v", j.ID, node, time.Since(since))
+	}
+	if remaining <= 0 {
+		w.breaks("%s is sent when its time is over", j.ID)
+	}
+	c := &modelClaim{job: j, node: node, sent: w.now(), report: report}
+	w.claims = append(w.claims, c)
+	return func() {
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		c.stop(foxlift.Cancelled, true)
+	}
+}
+
+// stop notes how a claim really ended.
+func (c *modelClaim) stop(code foxlift.Code, ran bool) {
+	if !c.ended {
+		c.ended, c.code, c.ran, c.end = true, code, ran && !provesNothingRan[code], c.job.world.now()
+	}
+}
+
+func (w *world) CloseIdle(string) {}
+func (w *world) Probe(_ string, report func(Report)) {
+	report(Report{Ended: true, Code: foxlift.Served})
+}
+func (w *world) Watch() {}
+
+// playScript plays a script and returns what it broke, and some figures.
+func playScript(t *testing.T, script []act, withCells bool) (broken []string, w *world) {
+	synctest.Test(t, func(t *testing.T) {
+		w = &world{began: time.Now(), drained: map[string]time.Time{}}
+		s, err := config.ParseSettings([]byte(modelSettings))
+		if err != nil {
+			t.Fatal(err)
+		}
+		var plan *cells.Plan
+		if withCells {
+			plan, _ = s.PlanCells(modelPlans()[0])
+		}
+		if w.core, err = New(s, plan, 5, NewClock(), &counters.Set{}); err != nil {
+			t.Fatal(err)
+		}
+		w.core.Connect(w, w, 40)
+		var list []foxlift.Worker
+		for i := range modelNodes {
+			list = append(list, w.worker(i, 0))
+		}
+		w.core.Start(list)
+		synctest.Wait()
+		for _, a := range script {
+			w.act(a)
+			synctest.Wait()
+		}
+		w.finish()
+		synctest.Wait()
+		w.judge()
+		w.core.Stop()
+		synctest.Wait()
+	})
+	return w.broken, w
+}
+
+func (w *world) worker(i int, started int64) foxlift.Worker {
+	return foxlift.Worker{ID: fmt.Sprint("n", i), Zone: i % 2, Kind: i % 2, Cell: i / 2, Started: started}
+}
+
+func (w *world) act(a act) {
+	c := w.core
+	switch a.kind {
+	case actSubmit, actRepeat:
+		id := fmt.Sprint("j", len(w.jobs))
+		if a.kind == actRepeat && len(w.jobs) > 0 {
+			id = w.jobs[a.a%len(w.jobs)].ID
+		}
+		j := &modelJob{world: w, asked: w.now()}
+		j.Job = &Job{
+			ID: id, Class: modelClasses[a.a%3], Tenant: modelTenants[a.b%3], Arrived: c.clock.Now(), Key: uint64(a.c % 4),
+			Remaining: []time.Duration{5 * time.Second, 20 * time.Millisecond, time.Second, 0}[a.c%4], Submitter: j,
+			Slots: float64(a.b % 3), Repeat: a.c%5 == 0,
+		}
+		w.jobs = append(w.jobs, j)
+		c.TakeIn(j.Job)
+	case actLeave:
+		if len(w.jobs) > 0 {
+			c.Left(w.jobs[a.a%len(w.jobs)].Job)
+		}
+	case actEnd, actNote, actEndAgain:
+		w.report(a)
+	case actList:
+		w.list(a)
+	case actWait:
+		time.Sleep([]time.Duration{time.Millisecond, 30 * time.Millisecond, 200 * time.Millisecond, 800 * time.Millisecond, 3 * time.Second}[a.a%5])
+	case actMove:
+		c.Move(context.Background(), modelTenants[a.a%3], []string{"a", "b", "c", "nowhere"}[a.b%4])
+	case actEvacuate:
+		c.Evacuate(context.Background(), []string{"a", "b", "c"}[a.a%3])
+	case actRestore:
+		c.Restore(context.Background(), "", "")
+	case actReplan:
+		if p, faults := c.settings.PlanCells(modelPlans()[a.a%3]); faults == nil {
+			c.Replan(context.Background(), p)
+		}
+	case actFinish:
+		if a.a%4 == 0 { // else nearly every script would end soon
+			c.End(time.Duration(a.b%4) * time.Second)
+		}
+	}
+}
+
+var modelCodes = []foxlift.Code{foxlift.Served, foxlift.Served, foxlift.Served, foxlift.Erred, foxlift.Full, foxlift.TimedOut,
+	foxlift.Unreachable, foxlift.Reset, foxlift.NotSent}
+
+func (w *world) report(a act) {
+	w.mu.Lock()
+	var open, over []*modelClaim
+	for _, c := range w.claims {
+		if c.ended {
+			over = append(over, c)
+		} else {
+			open = append(open, c)
+		}
+	}
+	var c *modelClaim
+	r := Report{Ended: true, Code: modelCodes[a.b%len(modelCodes)], Result: []byte("r")}
+	switch {
+	case a.kind == actEnd && len(open) > 0:
+		c = open[a.a%len(open)]
+		c.stop(r.Code, a.c%2 == 0 || r.Code == foxlift.Served)
+	case a.kind == actEndAgain && len(over) > 0: // late, doubled, or against the first word
+		c = over[a.a%len(over)]
+	case a.kind == actNote && len(w.claims) > 0:
+		c = w.claims[a.a%len(w.claims)]
+		r = Report{Progress: a.b%2 == 0}
+	}
+	w.mu.Unlock()
+	if c != nil {
+		c.report(r)
+	}
+}
+
+func (w *world) cellOf(node string) (int, bool) {
+	if s := w.core.scheme.Load(); s != nil {
+		return s.layout.NodeCell(node)
+	}
+	return 0, false
+}
+
+func (w *world) list(a act) {
+	var list []foxlift.Worker
+	w.mu.Lock()
+	for i := range modelNodes {
+		if a.b%3 == 0 && i%2 == 0 { // a part of it
+			continue
+		}
+		x := w.worker(i, 0)
+		x.State = foxlift.WorkerState(min(2, (a.c>>(2*i))&3))
+		if x.State == 2 && a.c%2 == 0 {
+			x.State = foxlift.Live
+		}
+		if cell, ok := w.cellOf(x.ID); a.a%7 == i || a.a%7 == 6 && ok && cell == 0 {
+			x.Started = w.core.clock.Now() // it has started anew; or all of a cell have
+		}
+		list = append(list, x)
+	}
+	kind := []foxlift.ListKind{foxlift.ListChanges, foxlift.ListFull, foxlift.ListFailed}[a.a%3]
+	if kind == foxlift.ListFailed {
+		list = nil
+	}
+	live := map[string]bool{}
+	for _, x := range list {
+		live[x.ID] = x.State == foxlift.Live
+	}
+	for i := range modelNodes {
+		id := fmt.Sprint("n", i)
+		told, named := live[id]
+		if !named && kind != foxlift.ListFull {
+			continue
+		}
+		if told {
+			delete(w.drained, id)
+		} else if _, ok := w.drained[id]; !ok {
+			w.drained[id] = time.Now()
+		}
+	}
+	w.mu.Unlock()
+	w.core.Machines(kind, list)
+}
+
+// finish lets all that is open come to its end.
+func (w *world) finish() {
+	for range 200 {
+		synctest.Wait()
+		w.mu.Lock()
+		var open []*modelClaim
+		for _, c := range w.claims {
+			if !c.ended {
+				c.stop(foxlift.Served, true)
+				open = append(open, c)
+			}
+		}
+		w.mu.Unlock()
+		for _, c := range open {
+			c.report(Report{Ended: true, Code: foxlift.Served, Result: []byte("r")})
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+}
+
+// judge checks what must hold at the end.
+func (w *world) judge() {
+	for _, j := range w.jobs {
+		if len(j.answers) != 1 {
+			w.breaks("%s has %d answers: %+v", j.ID, len(j.answers), j.answers)
+		}
+	}
+	w.core.operate(context.Background(), func(c *Core) {
+		if len(c.jobs) != 0 || len(c.open) != 0 || len(c.keys) != 0 {
+			w.breaks("%d jobs, %d open, %d keys are left", len(c.jobs), len(c.open), len(c.keys))
+		}
+		if n := c.counters.Get("jobs.overdue"); n > 0 && c.endBy == 0 {
+			w.breaks("the modules forgot %d jobs", n)
+		}
+		for _, cl := range c.cells {
+			if !cl.module.Idle() || cl.spillsOut != 0 || len(cl.leaving) != 0 {
+				w.breaks("cell %q: idle %v, %d spilled, %d leaving", cl.name, cl.module.Idle(), cl.spillsOut, len(cl.leaving))
+			}
+		}
+		for id, n := range c.known {
+			if len(n.out) != 0 {
+				w.breaks("%s: %v is counted out", id, n.out)
+			}
+		}
+		if s := c.scheme.Load(); s != nil {
+			for i := range s.jobs {
+				if open, _, _ := s.gate.Open(i); open != 0 {
+					w.breaks("cell %d: %d places are taken", i, open)
+				}
+			}
+		}
+	})
+	for _, j := range w.jobs {
+		if j.Class == "ratify" && !w.history(j) {
+			w.breaks("%s: no order of what happened fits a register that may be written once: %s", j.ID, w.story(j))
+		}
+	}
+}
+
+// A touch is an operation of a job's history: a run of it on a node, or what its
+// submitter was told.
+type touch struct {
+	run     bool
+	verdict Verdict
+}
+
+// The register: an at-most-once job that has run cannot run again, one that was refused
+// cannot run later, and one that is served has run.
+type register struct{ ran, refused bool }
+
+var onceModel = porcupine.Model{
+	Init: func() any { return register{} },
+	Step: func(state, input, _ any) (bool, any) {
+		r, x := state.(register), input.(touch)
+		switch {
+		case x.run:
+			return !r.ran && !r.refused, register{true, r.refused}
+		case x.verdict == Served:
+			return r.ran, r
+		case x.verdict == Refused:
+			return !r.ran, register{r.ran, true}
+		}
+		return true, r
+	},
+	Equal: func(a, b any) bool { return a == b },
+}
+
+func (w *world) history(j *modelJob) bool {
+	var ops []porcupine.Operation
+	if len(j.answers) > 0 && j.answers[0].Verdict != Rejected {
+		ops = append(ops, porcupine.Operation{Input: touch{verdict: j.answers[0].Verdict}, Call: int64(j.asked), Return: int64(j.at)})
+	}
+	for i, c := range w.claims {
+		// An id that was refused may come again, and run then.
+		later := c.job != j && len(j.answers) > 0 && j.answers[0].Verdict == Refused && c.sent >= j.at
+		if c.job.sameAs(j) && c.job.Class == "ratify" && c.ran && !later {
+			ops = append(ops, porcupine.Operation{ClientId: i + 1, Input: touch{run: true}, Call: int64(c.sent), Return: int64(c.end)})
+		}
+	}
+	return porcupine.CheckOperations(onceModel, ops)
+}
+
+func (w *world) story(j *modelJob) string {
+	s := fmt.Sprintf("asked at %v, %+v at %v", j.asked, j.answers, j.at)
+	for _, c := range w.claims {
+		if c.job == j {
+			s += fmt.Sprintf("; on %s from %v to %v: %d, ran %v", c.node, c.sent, c.end, c.code, c.ran)
+		}
+	}
+	return s
+}
+
+// modelProperty draws a script and plays it.
+func modelProperty(t *testing.T, rt *rapid.T) {
+	kind := rapid.Custom(func(rt *rapid.T) int {
+		// Jobs and ends of claims come more often than the rest.
+		return rapid.SampledFrom(slices.Concat(slices.Repeat([]int{actSubmit}, 10), slices.Repeat([]int{actEnd}, 8), slices.Repeat([]int{actWait}, 4),
+			[]int{actRepeat, actLeave, actNote, actNote, actEndAgain, actList, actList, actMove, actMove, actEvacuate, actRestore, actReplan, actFinish})).Draw(rt, "kind")
+	})
+	n := rapid.IntRange(1, 80).Draw(rt, "acts")
+	var script []act
+	for range n {
+		script = append(script, act{kind.Draw(rt, "act"), rapid.IntRange(0, 1<<12).Draw(rt, "a"), rapid.IntRange(0, 1<<12).Draw(rt, "b"), rapid.IntRange(0, 1<<12).Draw(rt, "c")})
+	}
+	withCells := rapid.Bool().Draw(rt, "cells")
+	if broken, _ := playScript(t, script, withCells); len(broken) > 0 {
+		rt.Fatalf("cells %v, script %v breaks:\n%v", withCells, script, broken)
+	}
+}
+
+func TestModel(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) { modelProperty(t, rt) })
+}
+
+func FuzzModel(f *testing.F) {
+	f.Add([]byte("\x00\x01\x02\x03\x04\x05\x06\x07"))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		rapid.MakeFuzz(func(rt *rapid.T) { modelProperty(t, rt) })(t, data)
+	})
+}
+
+// The oracles see: histories that break the register's rules are told from those that
+// do not.
+func TestRegisterSees(t *testing.T) {
+	w := &world{began: time.Now()}
+	claim := func(j *modelJob, from, to time.Duration, ran bool) {
+		w.claims = append(w.claims, &modelClaim{job: j, sent: from, end: to, ended: true, ran: ran})
+	}
+	for name, c := range map[string]struct {
+		verdict Verdict
+		at      time.Duration
+		runs    [][2]time.Duration
+		want    bool
+	}{
+		"served":               {Served, 9, [][2]time.Duration{{1, 5}}, true},
+		"served, never run":    {Served, 9, nil, false},
+		"twice":                {Served, 9, [][2]time.Duration{{1, 3}, {4, 5}}, false},
+		"refused, never run":   {Refused, 9, nil, true},
+		"refused, then run":    {Refused, 3, [][2]time.Duration{{4, 5}}, false},
+		"run, then refused":    {Refused, 9, [][2]time.Duration{{1, 2}}, false},
+		"failed, ran or not":   {Failed, 9, [][2]time.Duration{{1, 2}}, true},
+		"served before it ran": {Served, 3, [][2]time.Duration{{4, 5}}, false},
+	} {
+		j := &modelJob{Job: &Job{ID: name, Class: "ratify"}, world: w, at: c.at, answers: []Answer{{Verdict: c.verdict}}}
+		for _, r := range c.runs {
+			claim(j, r[0], r[1], true)
+		}
+		if got := w.history(j); got != c.want {
+			t.Errorf("%s: %v", name, got)
+		}
+	}
+}
--- a/internal/core/takein.go
+++ b/internal/core/takein.go
@@ -12,6 +12,9 @@
 	class, tenant, reason := c.check(e.job)
 	if reason != "" {
 		e.job.place.leave()
+		if reason != repeatedID {
+			c.ids.Delete(e.job.ID)
+		}
 		c.counters.Add("jobs.rejected")
 		e.job.Submitter.Answer(Answer{Verdict: Rejected, Reason: reason})
 		return
@@ -36,6 +39,8 @@
 
 const overdueAfter = 30 * time.Millisecond // past the deadline; rules on sockets allow over 50
 
+const repeatedID = "repeated id"
+
 // check looks up the job's class and tenant; reason says what is wrong with it.
 func (c *Core) check(j *Job) (class, tenant int, reason string) {
 	class, ok := c.settings.Classes[j.Class]
@@ -49,7 +54,7 @@
 		}
 	}
 	if c.open[j.ID] != nil || c.recent[j.ID] {
-		return 0, 0, "repeated id"
+		return 0, 0, repeatedID
 	}
 	return class, tenant, ""
 }
@@ -78,7 +83,10 @@
 // have it run twice.
 type idForgotten struct{ id string }
 
-func (e idForgotten) apply(c *Core) { delete(c.recent, e.id) }
+func (e idForgotten) apply(c *Core) {
+	delete(c.recent, e.id)
+	c.ids.Delete(e.id)
+}
 
 // remaining is how long the job's submitter still waits.
 func (j *job) remaining(now int64) time.Duration { return time.Duration(j.deadline - now) }
--- a/internal/platform/attempt.go
+++ b/internal/platform/attempt.go
@@ -11,6 +11,7 @@
 	"net"
 	"net/http"
 	"os"
+	"strings"
 	"syscall"
 	"time"
 
@@ -199,6 +200,44 @@
 	Result string `json:"result"`
 }
 
+// parseNote reads a line. One that says a thing twice is garbled: encoding/json would
+// take the last word, and names in any case, so that "failed" could be hidden by "done".
+func parseNote(line []byte) (n note, err error) {
+	if err := json.Unmarshal(line, &n); err != nil {
+		return n, err
+	}
+	seen := map[string]bool{}
+	dec := json.NewDecoder(bytes.NewReader(line))
+	dec.UseNumber()
+	for depth, key := 0, false; ; {
+		token, err := dec.Token()
+		if err == io.EOF {
+			return n, nil
+		} else if err != nil {
+			return n, err
+		}
+		switch t := token.(type) {
+		case json.Delim:
+			if t == '{' || t == '[' {
+				depth++
+			} else {
+				depth--
+			}
+			key = depth == 1
+			continue
+		case string:
+			if depth == 1 && key {
+				name := strings.ToLower(t)
+				if seen[name] {
+					return n, fmt.Errorf("%q is there twice", name)
+				}
+				seen[name] = true
+			}
+		}
+		key = depth == 1 && !key
+	}
+}
+
 var lastStates = map[string]foxlift.Code{
 	stateDone: foxlift.Served, stateFailed: foxlift.Erred,
 	stateReturned: foxlift.Full, stateLost: foxlift.Reset,
@@ -216,8 +255,8 @@
 		if len(line) == 0 {
 			continue
 		}
-		var n note
-		if err := json.Unmarshal(line, &n); err != nil {
+		n, err := parseNote(line)
+		if err != nil {
 			return ended(foxlift.Reset), err
 		}
 		if n.ID != a.job.ID || last != nil {
--- a/internal/platform/machines.go
+++ b/internal/platform/machines.go
@@ -52,6 +52,7 @@
 	dial  string
 	state foxlift.WorkerState
 	born  time.Time // its process's last start
+	told  int64     // the same as it was told
 }
 
 func newMachines(addr string, s *config.Settings, tell func(foxlift.ListKind, []foxlift.Worker), log *zap.Logger) *machines {
@@ -132,17 +133,26 @@
 
 // takeLocked puts an answer into the list and returns it in the module's terms.
 func (m *machines) takeLocked(l *listing) []foxlift.Worker {
+	before := m.entries
 	if l.Whole {
-		clear(m.entries)
+		m.entries = make(map[string]machine, len(l.Hosts))
 	}
 	m.version, m.conn = *l.Version, nil
+	now := time.Now().UnixMilli()
 	var workers []foxlift.Worker
 	for _, h := range l.Hosts {
 		state := healths[h.Health]
-		m.entries[h.Host] = machine{h.Dial, state, time.UnixMilli(h.Born)}
+		// A start before all time counts as long ago, one in the future as now: a node
+		// would else be cold for as long as its clock is wrong. What is told again is
+		// the same start.
+		born := max(0, min(h.Born, now))
+		if old, ok := before[h.Host]; ok && old.told == h.Born {
+			born = old.born.UnixMilli()
+		}
+		m.entries[h.Host] = machine{h.Dial, state, time.UnixMilli(born), h.Born}
 		workers = append(workers, foxlift.Worker{
 			ID: h.Host, Zone: config.Find(m.settings.Zones, h.Zone), Kind: config.Find(m.settings.Kinds, h.Kind),
-			Cell: h.Cell, State: state, Started: h.Born * int64(time.Millisecond),
+			Cell: h.Cell, State: state, Started: born * int64(time.Millisecond),
 		})
 	}
 	return workers
--- a/internal/platform/parse.go
+++ b/internal/platform/parse.go
@@ -40,15 +40,22 @@
 // could hide in the body (RFC 9112, 6.1 to 6.3 and 11.2).
 func checkFraming(head []byte, req *http.Request) *badInput {
 	lengths, codings := 0, 0
-	for line := range bytes.SplitSeq(head, []byte("\n")) {
+	for i, line := range bytes.Split(bytes.TrimRight(head, "\r\n"), []byte("\n")) {
 		line = bytes.TrimSuffix(line, []byte("\r"))
-		if bytes.ContainsAny(line, "\r\x00") {
+		if bytes.ContainsFunc(line, isControl) {
 			return bad(http.StatusBadRequest, "head", "a control character in the head")
 		}
+		if i == 0 {
+			continue // http.ReadRequest is strict about the first line
+		}
 		if len(line) > 0 && (line[0] == ' ' || line[0] == '\t') {
 			return bad(http.StatusBadRequest, "head", "a folded header line")
 		}
-		switch name, _, _ := bytes.Cut(line, []byte(":")); strings.ToLower(string(name)) {
+		name, _, _ := strings.Cut(string(line), ":")
+		if !isName(name) {
+			return bad(http.StatusBadRequest, "head", "a header name that is no token")
+		}
+		switch strings.ToLower(name) {
 		case "content-length":
 			lengths++
 		case "transfer-encoding":
@@ -66,6 +73,18 @@
 	return nil
 }
 
+// isControl reports a character that no line of a head may hold (RFC 9110, 5.5).
+func isControl(r rune) bool { return r < ' ' && r != '\t' || r == 0x7f }
+
+// isName reports whether s is a header's name, a token (RFC 9110, 5.6.2). To
+// http.ReadRequest "Transfer-Encoding " is just some other header: the next party may
+// take it for the framing.
+func isName(s string) bool {
+	return s != "" && !strings.ContainsFunc(s, func(r rune) bool {
+		return r > '~' || !('a' <= r && r <= 'z' || 'A' <= r && r <= 'Z' || '0' <= r && r <= '9' || strings.ContainsRune("!#$%&'*+-.^_`|~", r))
+	})
+}
+
 // parseJob makes a job of a request read in full.
 func parseJob(req *http.Request, body []byte) (*core.Job, *badInput) {
 	if ids := req.Header[headerID]; len(ids) != 1 || !isToken(ids[0]) {
--- /dev/null
+++ b/internal/platform/rfc9112_test.go
@@ -0,0 +1,169 @@
+package platform
+
+import (
+	"bufio"
+	"bytes"
+	"strconv"
+	"strings"
+)
+
+// A second reading of requests by the rules of RFC 9112, written as tables and with
+// none of net/http. It says where each request ends; where the front thinks otherwise
+// a second request could hide in a body (request smuggling, RFC 9112, 11.2).
+
+// A framed is one request as the rules read it.
+type framed struct {
+	method, target string
+	body           []byte
+	end            int // offset behind its last byte
+}
+
+// Characters by the grammar: tchar (RFC 9110, 5.6.2), and what a field value may
+// hold: visible characters, space, tab and obs-text (5.5).
+const (
+	tchar = "!#$%&'*+-.^_`|~0123456789ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz"
+	digit = "0123456789"
+	hex   = digit + "ABCDEFabcdef"
+)
+
+func all(s, of string) bool { return s != "" && strings.Trim(s, of) == "" }
+
+func fieldValue(s string) bool {
+	for i := range len(s) {
+		if c := s[i]; c < ' ' && c != '\t' || c == 0x7f {
+			return false
+		}
+	}
+	return true
+}
+
+// line takes a line off data at offset at; a lone LF ends one too (RFC 9112, 2.2 lets
+// a recipient recognise it).
+func line(data []byte, at int) (text string, next int, ok bool) {
+	i := bytes.IndexByte(data[at:], '\n')
+	if i < 0 {
+		return "", at, false
+	}
+	return strings.TrimSuffix(string(data[at:at+i]), "\r"), at + i + 1, true
+}
+
+// frameRequest reads the request at offset at. whole is false where data ends before
+// it does; sound is false where the rules call it bad.
+func frameRequest(data []byte, at int) (f framed, whole, sound bool) {
+	start, at, ok := line(data, at)
+	if !ok {
+		return f, false, true
+	}
+	parts := strings.Split(start, " ")
+	if len(parts) != 3 || !all(parts[0], tchar) || parts[1] == "" || !fieldValue(parts[1]) {
+		return f, true, false
+	}
+	version := parts[2]
+	if len(version) != 8 || !strings.HasPrefix(version, "HTTP/") || !all(version[5:6], digit) || version[6] != '.' || !all(version[7:], digit) {
+		return f, true, false
+	}
+	f.method, f.target = parts[0], parts[1]
+	var lengths, codings []string
+	for {
+		var text string
+		if text, at, ok = line(data, at); !ok {
+			return f, false, true
+		}
+		if text == "" {
+			break
+		}
+		name, value, colon := strings.Cut(text, ":")
+		if !colon || !all(name, tchar) || !fieldValue(value) {
+			return f, true, false // obs-fold and white space before the colon too (RFC 9112, 5.1, 5.2)
+		}
+		value = strings.Trim(value, " \t")
+		switch strings.ToLower(name) {
+		case "content-length":
+			lengths = append(lengths, value)
+		case "transfer-encoding":
+			codings = append(codings, value)
+		}
+	}
+	// The message body length, RFC 9112, 6.3.
+	switch {
+	case len(codings) > 0 && len(lengths) > 0, len(codings) > 1, len(lengths) > 1:
+		return f, true, false
+	case len(codings) == 1:
+		if !strings.EqualFold(codings[0], "chunked") || version != "HTTP/1.1" {
+			return f, true, false
+		}
+		return frameChunks(f, data, at)
+	case len(lengths) == 1:
+		if !all(lengths[0], digit) {
+			return f, true, false
+		}
+		n := 0
+		for _, c := range lengths[0] {
+			if n = 10*n + int(c-'0'); n > 1<<30 {
+				return f, true, false
+			}
+		}
+		if at+n > len(data) {
+			return f, false, true
+		}
+		f.body = data[at : at+n]
+		at += n
+	}
+	f.end = at
+	return f, true, true
+}
+
+// frameChunks reads a chunked body (RFC 9112, 7.1).
+func frameChunks(f framed, data []byte, at int) (framed, bool, bool) {
+	f.body = []byte{}
+	for {
+		head, next, ok := line(data, at)
+		if !ok {
+			return f, false, true
+		}
+		at = next
+		size, _, _ := strings.Cut(head, ";")
+		size = strings.TrimRight(size, " \t") // BWS before an extension
+		if !all(size, hex) || len(strings.TrimLeft(size, "0")) > 7 {
+			return f, true, false
+		}
+		long, _ := strconv.ParseUint(size, 16, 64)
+		n := int(long)
+		if n == 0 {
+			break
+		}
+		if at+n+2 > len(data) {
+			if at+n < len(data) && data[at+n] != '\r' && data[at+n] != '\n' {
+				return f, true, false
+			}
+			if at+n+1 > len(data) || data[at+n] != '\n' {
+				return f, false, true
+			}
+		}
+		f.body = append(f.body, data[at:at+n]...)
+		at += n
+		switch {
+		case data[at] == '\r' && data[at+1] == '\n':
+			at += 2
+		default:
+			return f, true, false
+		}
+	}
+	for { // trailers
+		text, next, ok := line(data, at)
+		if !ok {
+			return f, false, true
+		}
+		at = next
+		if text == "" {
+			f.end = at
+			return f, true, true
+		}
+		name, value, colon := strings.Cut(text, ":")
+		if !colon || !all(name, tchar) || !fieldValue(value) {
+			return f, true, false
+		}
+	}
+}
+
+func parserOf(data []byte) *bufio.Reader { return bufio.NewReader(bytes.NewReader(data)) }
--- a/internal/platform/rules_test.go
+++ b/internal/platform/rules_test.go
@@ -85,6 +85,9 @@
 		"huge length":      {jobText(r, "j", m, "", "-Content-Length", "Content-Length: 99999999999999999999"), 400, "bad.head", false},
 		"chunked in 1.0":   {strings.Replace(jobText(r, "j", m, "", "-Content-Length", "Transfer-Encoding: chunked"), "1.1", "1.0", 1), 400, "bad.framing", false},
 		"folded header":    {jobText(r, "j", m, "", "X-A: b\r\n c"), 400, "bad.head", false},
+		"name with space":  {jobText(r, "j", m, "", "X A: b"), 400, "bad.head", false},
+		"space at colon":   {jobText(r, "j", m, "", "-Content-Length", "Transfer-Encoding : chunked") + "0\r\n\r\n", 400, "bad.head", false},
+		"target unread":    {"POST reading HTTP/1.1\r\nHost: x\r\n\r\n", 400, "bad.head", false},
 		"bare CR":          {jobText(r, "j", m, "", "X-A: b\rc"), 400, "bad.head", false},
 		"bad chunk":        {jobText(r, "j", m, "", "-Content-Length", "Transfer-Encoding: chunked") + "x\r\n", 400, "bad.length", false},
 		"long body":        {jobText(r, "j", m, strings.Repeat("b", maxBody+1)), 413, "bad.body", false},
@@ -865,3 +868,21 @@
 	await(t, "the end arrives", func() bool { return !c.buf.fillNow() })
 	check(t, "deliver after the end", c.deliver([]byte("some bytes"), 0), foxlift.NotSent)
 }
+
+// A line that says a thing twice is garbled: no reading of it may be believed.
+func TestNotesThatSayTwice(t *testing.T) {
+	for text, sound := range map[string]bool{
+		`{"id":"j","state":"done","result":"r"}`:                          true,
+		`{"id":"j","state":"running","share":0.5,"x":{"id":"k","id":"l"}}`: true,
+		`{"id":"j","state":"done","result":"state"}`:                      true,
+		`{"id":"j","a":["state","state"],"state":"done"}`:                 true,
+		`{"id":"j","state":"failed","state":"done"}`:                      false,
+		`{"id":"j","state":"failed","State":"done"}`:                      false,
+		`{"id":"k","id":"j","state":"done"}`:                              false,
+		`{"id":"j","state":"done"`:                                        false,
+	} {
+		if _, err := parseNote([]byte(text)); (err == nil) != sound {
+			t.Errorf("%s: %v", text, err)
+		}
+	}
+}
--- a/internal/platform/submitter.go
+++ b/internal/platform/submitter.go
@@ -232,21 +232,18 @@
 	return req, body, nil
 }
 
-// readError tells bad input from a connection that has ended.
+// readError tells bad input from a connection that has ended. Only the connection's
+// own error says that: a parser's may look like one (a url.Error is a net.Error).
 func (s *submitter) readError(m *message, err error, counter string) *badInput {
-	if m.err != nil {
-		err = m.err
-	}
-	var network net.Error
 	switch {
-	case errors.Is(err, errTooLong):
+	case m.err == nil:
+		return bad(http.StatusBadRequest, counter, "malformed request: %v", err)
+	case errors.Is(m.err, errTooLong):
 		return bad(http.StatusRequestHeaderFieldsTooLarge, counter, "the request is too long")
-	case errors.Is(err, os.ErrDeadlineExceeded):
+	case errors.Is(m.err, os.ErrDeadlineExceeded):
 		return bad(http.StatusRequestTimeout, "slow", "the request did not come to its end")
-	case errors.As(err, &network), errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF):
-		return nil
 	}
-	return bad(http.StatusBadRequest, counter, "malformed request: %v", err)
+	return nil
 }
 
 // write writes a reply and returns whether the connection may go on.
--- a/internal/standin/discovery.go
+++ b/internal/standin/discovery.go
@@ -54,6 +54,9 @@
 // Put says how a node is: active, leaving, or left.
 func (d *Discovery) Put(n *Node, health string) {
 	h := host{Host: n.Name, Dial: n.Addr(), Zone: n.Zone, Kind: n.Kind, Health: health, Share: 1}
+	if n.Via != "" {
+		h.Dial = n.Via
+	}
 	if !n.Started.IsZero() {
 		h.Born = n.Started.UnixMilli()
 	}
--- a/internal/standin/node.go
+++ b/internal/standin/node.go
@@ -121,6 +121,7 @@
 	Name, Zone, Kind string
 	Work             func(class string) time.Duration // how long a job runs
 	Started          time.Time                        // reported as its start; zero: long ago
+	Via              string                           // the address that discovery tells; "": its own
 
 	server    *Server
 	slots     chan struct{}
--- /dev/null
+++ b/internal/wire/fuzz_test.go
@@ -0,0 +1,74 @@
+package wire
+
+import (
+	"bytes"
+	"testing"
+
+	"github.com/valyala/fastjson"
+
+	"github.com/vatu-meals/foxlift"
+	"github.com/vatu-meals/foxlift/internal/fuzz"
+)
+
+// taker takes whatever a batch holds, as the adapter does.
+type taker struct {
+	names  map[string]*Names
+	events int
+}
+
+func (h *taker) Attach(instance string, seed uint64, settings *fastjson.Value) error {
+	cfg, names, err := Settings(instance, settings)
+	if err != nil {
+		h.names[instance] = &Names{Instance: instance}
+		return nil
+	}
+	if _, err := foxlift.New(*cfg, seed); err != nil {
+		names = &Names{Instance: instance}
+	}
+	h.names[instance] = names
+	return nil
+}
+func (h *taker) Down(instance string) error         { delete(h.names, instance); return nil }
+func (h *taker) Names(instance []byte) *Names       { return h.names[string(instance)] }
+func (h *taker) Event(*Names, *foxlift.Event) error { h.events++; return nil }
+
+// checkBatch: a line of the simulator's wire is taken or refused with words, and read
+// the same way twice.
+func checkBatch(t testing.TB, data []byte) {
+	var dec Decoder
+	once := func() (Batch, int, string) {
+		h := &taker{names: map[string]*Names{}}
+		b, err := dec.Decode(bytes.Clone(data), func(Batch) {}, h)
+		if err != nil {
+			return b, h.events, err.Error()
+		}
+		return b, h.events, ""
+	}
+	b1, n1, e1 := once()
+	b2, n2, e2 := once()
+	if b1 != b2 || n1 != n2 || e1 != e2 {
+		t.Fatalf("%q: %v %d %q, then %v %d %q", data, b1, n1, e1, b2, n2, e2)
+	}
+}
+
+func batchSeeds() (seeds [][]byte) {
+	const attach = `["attach","scheduler_3",7,{"grades":[{"name":"r","aim":1,"deadline":2,"effect":"idempotent"}],"dcs":["a"],"flavors":["k"],"projects":[{"name":"t","quotaRps":1}]}]`
+	for _, s := range []string{
+		`{"simTime":8412250000,"batch":1,"news":[]}`,
+		`{"simTime":1,"batch":2,"news":[` + attach + `,["registry","scheduler_3","warm_copy",41,[["10.18.74.7:8083","a","k",0,"live",1,null]]],["accept","scheduler_3",1564119492,8652250000,"r","91f03b7c55d20a64",12000000,2,1,"t",1.5]]}`,
+		`{"simTime":1,"batch":2,"news":[` + attach + `,["completed","scheduler_3",1,"10.18.74.7:8083",18500000,true,0,100,null,null],["interim","scheduler_3",1,0.4,2,"w",0],["flowing","scheduler_3",1,"w",0,5],["clientLeft","scheduler_3",1],["deadlineHit","scheduler_3",77],["probeDone","scheduler_3","w",100,5,null],["neighbourSays","scheduler_3",1,"aGkgNw=="],["down","scheduler_3"]]}`,
+		`{"simTime":-1,"batch":1e400,"news":{}}`, `[`, `{"simTime":1,"batch":2,"news":[["accept","nobody"]]}`,
+	} {
+		seeds = append(seeds, []byte(s))
+	}
+	return seeds
+}
+
+func FuzzBatch(f *testing.F) {
+	for _, s := range batchSeeds() {
+		f.Add(s)
+	}
+	f.Fuzz(func(t *testing.T, data []byte) { checkBatch(t, data) })
+}
+
+func TestFuzzBatch(t *testing.T) { fuzz.Play(t, 21, 20000, batchSeeds(), checkBatch) }
--- a/state.go
+++ b/state.go
@@ -296,6 +296,20 @@
 	}
 }
 
+// Idle reports whether the dispatcher holds no job and counts nothing in flight: so it
+// must be once every job is answered and every attempt has had its outcome.
+func (d *Dispatcher) Idle() bool {
+	if len(d.jobs)+len(d.out) > 0 || math.Abs(d.inflight) > 1e-6 {
+		return false
+	}
+	for _, w := range d.list {
+		if w.jobs != 0 || w.overdue != 0 || math.Abs(w.own-w.others) > 1e-6 {
+			return false
+		}
+	}
+	return true
+}
+
 // tenantOf finds a tenant; requests of none share one of their own.
 func (d *Dispatcher) tenantOf(i int) *tenant {
 	if i < 0 || i >= len(d.cfg.Tenants) {
