--- a/internal/platform/rules_test.go
+++ b/internal/platform/rules_test.go
@@ -872,14 +872,14 @@
 // A line that says a thing twice is garbled: no reading of it may be believed.
 func TestNotesThatSayTwice(t *testing.T) {
 	for text, sound := range map[string]bool{
-		`{"id":"j","state":"done","result":"r"}`:                          true,
+		`{"id":"j","state":"done","result":"r"}`:                           true,
 		`{"id":"j","state":"running","share":0.5,"x":{"id":"k","id":"l"}}`: true,
-		`{"id":"j","state":"done","result":"state"}`:                      true,
-		`{"id":"j","a":["state","state"],"state":"done"}`:                 true,
-		`{"id":"j","state":"failed","state":"done"}`:                      false,
-		`{"id":"j","state":"failed","State":"done"}`:                      false,
-		`{"id":"k","id":"j","state":"done"}`:                              false,
-		`{"id":"j","state":"done"`:                                        false,
+		`{"id":"j","state":"done","result":"state"}`:                       true,
+		`{"id":"j","a":["state","state"],"state":"done"}`:                  true,
+		`{"id":"j","state":"failed","state":"done"}`:                       false,
+		`{"id":"j","state":"failed","State":"done"}`:                       false,
+		`{"id":"k","id":"j","state":"done"}`:                               false,
+		`{"id":"j","state":"done"`:                                         false,
 	} {
 		if _, err := parseNote([]byte(text)); (err == nil) != sound {
 			t.Errorf("%s: %v", text, err)
