Read notes and heads for doubled words and bad names without a second parse

Change: a look at a note's bytes says whether a name can be there twice; only then it is read again. Heads are checked in place by a table. Names in notes are compared as encoding/json compares them, with folding.

--- a/internal/platform/attempt.go
+++ b/internal/platform/attempt.go
@@ -11,6 +11,7 @@
 	"net"
 	"net/http"
 	"os"
+	"slices"
 	"strings"
 	"syscall"
 	"time"
@@ -206,7 +207,10 @@
 	if err := json.Unmarshal(line, &n); err != nil {
 		return n, err
 	}
-	seen := map[string]bool{}
+	if !maySayTwice(line) {
+		return n, nil
+	}
+	var seen []string
 	dec := json.NewDecoder(bytes.NewReader(line))
 	dec.UseNumber()
 	for depth, key := 0, false; ; {
@@ -227,17 +231,33 @@
 			continue
 		case string:
 			if depth == 1 && key {
-				name := strings.ToLower(t)
-				if seen[name] {
-					return n, fmt.Errorf("%q is there twice", name)
+				if slices.ContainsFunc(seen, func(s string) bool { return strings.EqualFold(s, t) }) {
+					return n, fmt.Errorf("%q is there twice", t)
 				}
-				seen[name] = true
+				seen = append(seen, t)
 			}
 		}
 		key = depth == 1 && !key
 	}
 }
 
+// maySayTwice is a look at the bytes alone: whether a name that counts can be there
+// twice. Escapes, and letters that fold into ASCII ones, are looked at closely.
+func maySayTwice(line []byte) bool {
+	for _, c := range line {
+		if c == '\\' || c >= 0x80 {
+			return true
+		}
+	}
+	lower := bytes.ToLower(line)
+	for _, name := range []string{`"id"`, `"state"`, `"result"`} {
+		if bytes.Count(lower, []byte(name)) > 1 {
+			return true
+		}
+	}
+	return false
+}
+
 var lastStates = map[string]foxlift.Code{
 	stateDone: foxlift.Served, stateFailed: foxlift.Erred,
 	stateReturned: foxlift.Full, stateLost: foxlift.Reset,
--- a/internal/platform/parse.go
+++ b/internal/platform/parse.go
@@ -40,10 +40,14 @@
 // could hide in the body (RFC 9112, 6.1 to 6.3 and 11.2).
 func checkFraming(head []byte, req *http.Request) *badInput {
 	lengths, codings := 0, 0
-	for i, line := range bytes.Split(bytes.TrimRight(head, "\r\n"), []byte("\n")) {
+	for i, rest := 0, bytes.TrimRight(head, "\r\n"); len(rest) > 0; i++ {
+		var line []byte
+		line, rest, _ = bytes.Cut(rest, []byte("\n"))
 		line = bytes.TrimSuffix(line, []byte("\r"))
-		if bytes.ContainsFunc(line, isControl) {
-			return bad(http.StatusBadRequest, "head", "a control character in the head")
+		for _, c := range line {
+			if c < ' ' && c != '\t' || c == 0x7f { // RFC 9110, 5.5
+				return bad(http.StatusBadRequest, "head", "a control character in the head")
+			}
 		}
 		if i == 0 {
 			continue // http.ReadRequest is strict about the first line
@@ -51,14 +55,14 @@
 		if len(line) > 0 && (line[0] == ' ' || line[0] == '\t') {
 			return bad(http.StatusBadRequest, "head", "a folded header line")
 		}
-		name, _, _ := strings.Cut(string(line), ":")
+		name, _, _ := bytes.Cut(line, []byte(":"))
 		if !isName(name) {
 			return bad(http.StatusBadRequest, "head", "a header name that is no token")
 		}
-		switch strings.ToLower(name) {
-		case "content-length":
+		switch {
+		case bytes.EqualFold(name, []byte("Content-Length")):
 			lengths++
-		case "transfer-encoding":
+		case bytes.EqualFold(name, []byte("Transfer-Encoding")):
 			codings++
 		}
 	}
@@ -73,18 +77,25 @@
 	return nil
 }
 
-// isControl reports a character that no line of a head may hold (RFC 9110, 5.5).
-func isControl(r rune) bool { return r < ' ' && r != '\t' || r == 0x7f }
-
 // isName reports whether s is a header's name, a token (RFC 9110, 5.6.2). To
 // http.ReadRequest "Transfer-Encoding " is just some other header: the next party may
 // take it for the framing.
-func isName(s string) bool {
-	return s != "" && !strings.ContainsFunc(s, func(r rune) bool {
-		return r > '~' || !('a' <= r && r <= 'z' || 'A' <= r && r <= 'Z' || '0' <= r && r <= '9' || strings.ContainsRune("!#$%&'*+-.^_`|~", r))
-	})
+func isName(s []byte) bool {
+	for _, c := range s {
+		if !nameBytes[c] {
+			return false
+		}
+	}
+	return len(s) > 0
 }
 
+var nameBytes = func() (in [256]bool) {
+	for _, c := range []byte("!#$%&'*+-.^_`|~0123456789ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz") {
+		in[c] = true
+	}
+	return in
+}()
+
 // parseJob makes a job of a request read in full.
 func parseJob(req *http.Request, body []byte) (*core.Job, *badInput) {
 	if ids := req.Header[headerID]; len(ids) != 1 || !isToken(ids[0]) {
--- a/internal/platform/rules_test.go
+++ b/internal/platform/rules_test.go
@@ -878,6 +878,8 @@
 		`{"id":"j","a":["state","state"],"state":"done"}`:                  true,
 		`{"id":"j","state":"failed","state":"done"}`:                       false,
 		`{"id":"j","state":"failed","State":"done"}`:                       false,
+		`{"id":"j","st\u0061te":"failed","state":"done"}`:                  false,
+		`{"id":"j","ſtate":"failed","state":"done"}`:                       false,
 		`{"id":"k","id":"j","state":"done"}`:                               false,
 		`{"id":"j","state":"done"`:                                         false,
 	} {
