Read the operator's file in one place; drop what the cells never used

Cause: a last reading of the change. The file's outermost forms were read twice over, the rule on repeats of a job that may have run stood in two places, and the layout kept a version and a look-up that nobody read.

Change: one reader of the outermost forms, one repeatHarms, the dead parts gone. Behaviour is the same.

Result: vet and the tests of config, cells, core and daemon pass; no assertion changed.

--- a/internal/cells/layout.go
+++ b/internal/cells/layout.go
@@ -16,7 +16,6 @@
 	moved   []bool  // by tenant: its place is not the file's
 	nodes   *immutable.Map[string, int]
 	members [][]member // by cell, ordered by id
-	Version int
 }
 
 // A member is a node of a cell.
@@ -29,7 +28,7 @@
 func NewLayout(p *Plan) *Layout {
 	return &Layout{
 		plan: p, tenants: p.tenants, moved: make([]bool, len(p.tenants)),
-		nodes: immutable.NewMap[string, int](nil), members: make([][]member, len(p.cells)), Version: 1,
+		nodes: immutable.NewMap[string, int](nil), members: make([][]member, len(p.cells)),
 	}
 }
 
@@ -148,7 +147,6 @@
 		return l
 	}
 	n := *l
-	n.Version++
 	n.members = slices.Clone(l.members)
 	copied := make([]bool, len(n.members))
 	own := func(c int) {
@@ -230,7 +228,6 @@
 
 func (l *Layout) withPlace(tenant int, p place, moved bool) *Layout {
 	n := *l
-	n.Version++
 	n.tenants, n.moved = slices.Clone(l.tenants), slices.Clone(l.moved)
 	n.tenants[tenant], n.moved[tenant] = p, moved && !slices.Equal(p, l.plan.tenants[tenant])
 	return &n
--- a/internal/cells/route.go
+++ b/internal/cells/route.go
@@ -50,9 +50,6 @@
 	return max(1, int(l.plan.cells[from].SpillPart*float64(bound)))
 }
 
-// Spill returns the cell that a cell spills into, or -1.
-func (l *Layout) Spill(cell int) int { return l.plan.spill[cell] }
-
 // MayMove checks a move of a tenant before anything is done.
 func (l *Layout) MayMove(tenant, to int) error {
 	switch {
--- a/internal/config/operator.go
+++ b/internal/config/operator.go
@@ -25,16 +25,21 @@
 func ParseOperator(name string, text []byte, s *Settings) (*Operator, error) {
 	r := &reader{file: name}
 	op := &Operator{}
+	r.outermost(text, op, func(f form) { op.Cells = r.cells(f, s) })
+	if len(r.faults) > 0 {
+		return nil, r.sorted()
+	}
+	return op, nil
+}
+
+// outermost reads the file's outermost forms; cells reads that of cells.
+func (r *reader) outermost(text []byte, op *Operator, cells func(form)) {
 	r.forms("", r.parse(text), map[string]rule{"foxlift": {read: func(f form) {
 		r.forms("", f.args, map[string]rule{
 			"control": {read: func(f form) { r.control(f, op) }},
-			"cells":   {read: func(f form) { op.Cells = r.cells(f, s) }},
+			"cells":   {read: cells},
 		})
 	}}})
-	if len(r.faults) > 0 {
-		return nil, r.sorted()
-	}
-	return op, nil
 }
 
 // ControlSocket reads the path of the control socket alone from an operator's file,
@@ -45,12 +50,7 @@
 		return "", Faults{{File: path, Text: err.Error()}}
 	}
 	r, op := &reader{file: path}, &Operator{}
-	r.forms("", r.parse(text), map[string]rule{"foxlift": {read: func(f form) {
-		r.forms("", f.args, map[string]rule{
-			"control": {read: func(f form) { r.control(f, op) }},
-			"cells":   {read: func(form) {}},
-		})
-	}}})
+	r.outermost(text, op, func(form) {})
 	if len(r.faults) > 0 {
 		return "", r.sorted()
 	}
--- a/internal/core/cell.go
+++ b/internal/core/cell.go
@@ -228,13 +228,18 @@
 // refuse answers a job that the core will not hand to any module. One that may have
 // run is never told that another try is harmless.
 func (c *Core) refuse(j *job) {
-	if j.mayHaveRun() && c.settings.Module.Classes[j.class].Effect != foxlift.Idempotent {
+	if c.repeatHarms(j) {
 		c.answer(j, Answer{Verdict: Failed, Reason: "given up"})
 		return
 	}
 	c.answer(j, Answer{Verdict: Refused, RetryAfter: c.fullRetry()})
 }
 
+// repeatHarms reports whether the job may have run and its class minds another run.
+func (c *Core) repeatHarms(j *job) bool {
+	return j.mayHaveRun() && c.settings.Module.Classes[j.class].Effect != foxlift.Idempotent
+}
+
 // A keyIn is a key in a cell.
 type keyIn struct {
 	cell *cell
@@ -272,7 +277,7 @@
 	if s == nil || j.answered || j.out > 0 || j.leaving {
 		return
 	}
-	if j.mayHaveRun() && c.settings.Module.Classes[j.class].Effect != foxlift.Idempotent {
+	if c.repeatHarms(j) {
 		return
 	}
 	way := c.way(j)
