Watch discovery from the known list's version; hold watches longer in large fleets

Every call that is not a watch's continuation took the whole list of 60 lines (follow's 'whole := true'), also right after a start with a list and after each 503; and 80 watches of 10 s are 8 calls a second by themselves. Ruled out: the retries' spacing alone (failures are spread, and fail at once, not after 3 s).

Now the first call, and one after a failure, names the version that is held; the whole list is taken only without one, after a switch of discovery, or when discovery has lost count. A watch may be held 1 s for each scheduler, 10 to 55 s.

--- a/internal/platform/machines.go
+++ b/internal/platform/machines.go
@@ -18,11 +18,12 @@
 )
 
 const (
-	watchWait   = 10 * time.Second        // how long discovery may hold a watch
+	waitLeast   = 10 * time.Second        // how long discovery may hold a watch,
+	waitMost    = 55 * time.Second        // (it allows 60 s)
+	waitEach    = time.Second             // and for each scheduler: so often all of them together ask anew
 	listLimit   = 4 * time.Second         // for the whole list: discovery gives up after 3 s
 	watchSlack  = 1500 * time.Millisecond // a watch's answer may come this much after its wait
 	dialLimit   = time.Second             // for a connection to discovery
-	watchBroken = 200 * time.Millisecond  // a later call starts a new watch
 	catchUp     = 100 * time.Millisecond  // most that a claim waits for the watch to read
 	switchTime  = 3500 * time.Millisecond // after a switch to another discovery, calls that fail are made again
 	switchLimit = 2 * time.Second         // for the whole list then
@@ -42,6 +43,7 @@
 	urgent   time.Time          // until then the first whole list from addr is asked for again and again
 	entries  map[string]machine
 	version  int64
+	whole    bool // the next call takes the whole list: no version is known that its changes could go on from
 	watching bool
 	conn     net.Conn // the watch's, while an answer is awaited
 	stopped  bool
@@ -56,7 +58,7 @@
 }
 
 func newMachines(addr string, s *config.Settings, tell func(foxlift.ListKind, []foxlift.Worker), log *zap.Logger) *machines {
-	return &machines{addr: addr, settings: s, tell: tell, log: log, entries: map[string]machine{}}
+	return &machines{addr: addr, settings: s, tell: tell, log: log, entries: map[string]machine{}, whole: true}
 }
 
 // A listing is discovery's answer.
@@ -137,7 +139,7 @@
 	if l.Whole {
 		m.entries = make(map[string]machine, len(l.Hosts))
 	}
-	m.version, m.conn = *l.Version, nil
+	m.version, m.whole, m.conn = *l.Version, false, nil
 	now := time.Now().UnixMilli()
 	var workers []foxlift.Worker
 	for _, h := range l.Hosts {
@@ -206,7 +208,7 @@
 func (m *machines) switchTo(addr string) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.addr, m.urgent = addr, time.Now().Add(switchTime)
+	m.addr, m.whole, m.urgent = addr, true, time.Now().Add(switchTime)
 	if m.cancel != nil {
 		m.cancel()
 	}
@@ -263,15 +265,20 @@
 func (m *machines) follow(ctx context.Context, addr string) error {
 	c := &caller{ctx: ctx, addr: addr}
 	defer c.close()
-	whole := true // a first call, and one after a gap, takes the whole list
+	// Discovery has little time for each of many schedulers, and what it does is
+	// priced by the line: only who has no list at all takes the whole one.
+	m.mu.Lock()
+	whole := m.whole
+	m.mu.Unlock()
+	wait := m.wait()
 	var kind foxlift.ListKind
 	var news []foxlift.Worker
 	var told bool
 	for {
 		target, limit := pathMembers, m.listLimit()
 		if !whole {
-			target = fmt.Sprintf("%s?%s=%d&%s=%d", pathMembers, queryIndex, m.version, queryWait, watchWait.Milliseconds())
-			limit = watchWait + watchSlack
+			target = fmt.Sprintf("%s?%s=%d&%s=%d", pathMembers, queryIndex, m.version, queryWait, wait.Milliseconds())
+			limit = wait + watchSlack
 		}
 		err := c.send(target, limit)
 		// The core hears of an answer once the next call is out: nothing that
@@ -287,7 +294,6 @@
 		if err != nil {
 			return err
 		}
-		answered := time.Now()
 		l, err := parseListing(body)
 		if err == nil && whole && !l.Whole {
 			err = errors.New("the answer is not the whole list")
@@ -307,10 +313,16 @@
 		if l.Whole {
 			kind = foxlift.ListFull
 		}
-		whole = time.Since(answered) > watchBroken
+		whole = false
 	}
 }
 
+// wait is how long discovery may hold a watch. Each call costs it time also when there
+// is nothing to tell: of many schedulers each asks less often.
+func (m *machines) wait() time.Duration {
+	return min(waitMost, max(waitLeast, time.Duration(m.settings.Module.Dispatchers)*waitEach))
+}
+
 // listLimit is how long a call for the whole list may take.
 func (m *machines) listLimit() time.Duration {
 	m.mu.Lock()
