Let many schedulers move, pace and hold back jobs by what little each of them sees

At fault: coldGap (a wait of up to 24 s before the first send, set once, paced by count), startLimit and copyShare (a job moved after 300 ms, 5% of them), checkOverdue (nothing called off), release and shut (three errors for each of 80, 30 to 80 a second together), over (one job of a small tenant counted as excess: 390 of 841 readings refused within 250 ms), the window's size. Ruled out by the counts: connections (none failed for want of room), probes (none are sent), processor time (0.01 s in a scheduler's worst second).

Changed, for more than four schedulers or scaled by their number: docs/design/fleet.md has the choice.

--- a/dispatcher.go
+++ b/dispatcher.go
@@ -17,14 +17,22 @@
 
 const second = int64(1e9)
 
+// few is the most dispatchers that learn enough from their own jobs. What each of many
+// does alone is harmful where all do it, and each sees little: see docs/design/fleet.md.
+const few = 4.0
+
+// many says that there are more dispatchers than a few.
+func (d *Dispatcher) many() bool { return d.crowd > 1 }
+
 // A Dispatcher makes the decisions of one scheduler. It sees only its own traffic.
 type Dispatcher struct {
 	cfg             Config
 	rng             *rand.Rand
 	now             int64
-	began           int64 // time of the first step; -1 before it
-	tick, tickAt    int64 // between looks at what is held and overdue; the next of them
-	regulAt, period int64 // next run of the regulator, and its number
+	crowd           float64 // how many times more dispatchers there are than a few
+	began           int64   // time of the first step; -1 before it
+	tick, tickAt    int64   // between looks at what is held and overdue; the next of them
+	regulAt, period int64   // next run of the regulator, and its number
 	actions         []Action
 
 	jobs       map[uint64]*job
@@ -55,43 +63,21 @@
 	levels   int           // most levels of any kind
 	ring     []*worker     // by hash of id, for keys
 	inflight float64       // slots of our jobs in flight
+	waits    int           // attempts sent that have not started, on workers that may be well
 	window   float64       // how many of them the fleet starts without delay
 	usual    mean          // pressure that load reports show
 	fresh    [4]*worker    // the last that reported
 	freshAt  int
 	fade     int64   // time in which a load report loses its meaning
 	starts   mean    // delay from sending to the start
-	warmRate float64 // slots a second that each warm worker serves for us
+	prompt   mean    // the same, of those that found room
+	warmRate float64 // slots that each warm worker has at work for us
 	warmNow  float64 // the same, in the last seconds
 	served   float64
 	listCall listCall
 	lists    int64 // number of list events
 }
 
-// New returns a Dispatcher for cfg, or an error naming the field that makes cfg
-// impossible to run. All randomness comes from seed.
-func New(cfg Config, seed uint64) (*Dispatcher, error) {
-	if err := cfg.check(); err != nil {
-		return nil, err
-	}
-	d := &Dispatcher{
-		cfg: cfg, rng: rand.New(rand.NewPCG(seed, seed^0x9e3779b97f4a7c15)), began: -1, fade: second,
-		jobs: map[uint64]*job{}, workers: map[string]*worker{}, open: true, copies: maxCopies,
-		peers: make([]peer, cfg.Dispatchers),
-	}
-	aim, kinds := int64(math.MaxInt64), 0
-	for i := range cfg.Classes {
-		c := &cfg.Classes[i]
-		d.classes = append(d.classes, classLoop{Class: c, median: c.Aim, fit: newModel(), v: 1})
-		d.repeatable = d.repeatable || c.Effect != AtMostOnce
-		aim, kinds = min(aim, c.Aim), max(kinds, c.Kind+1)
-	}
-	d.tick = max(aim/8, int64(1e6))
-	d.room = make([][][]*worker, kinds+1)
-	d.initTenants()
-	return d, nil
-}
-
 // Step takes the events since the last step and returns what to do. The time
 // must not go back (an earlier one counts as the last). The actions are valid
 // until the next Step.
@@ -120,29 +106,6 @@
 	d.listCall.next = d.now + d.rng.Int64N(max(1, min(d.cfg.MustAskIn/4, second)))
 }
 
-func (d *Dispatcher) handle(e *Event) {
-	switch e.Kind {
-	case EventRequest:
-		d.accept(&e.Request)
-	case EventList:
-		d.onList(e.List, e.Workers)
-	case EventStarted:
-		d.onStarted(e)
-	case EventOutcome:
-		d.onOutcome(e)
-	case EventClientLeft:
-		if j := d.jobs[e.ID]; j != nil && !j.ended {
-			d.end(j)
-		}
-	case EventProbed:
-		d.onProbed(e)
-	case EventMessage:
-		d.onMessage(e.From, e.Data)
-	case EventQuotas:
-		d.onQuotas(e.Quotas)
-	}
-}
-
 // onTick looks after all that depends on time alone, and sets the next timer.
 func (d *Dispatcher) onTick() {
 	if d.now >= d.regulAt {
@@ -297,7 +260,18 @@
 	if j.mayRan == nil {
 		j.mayRan = a // until its outcome proves otherwise
 	}
-	d.copies = min(d.copies+copyShare, maxCopies)
+	share := copyShare
+	if d.many() && d.cfg.StartNotes {
+		share = moveShare
+		if a.waits = j.class.Effect == AtMostOnce; a.waits {
+			d.waits++
+		}
+		if at := d.now + d.startLimit(j); at < d.tickAt {
+			d.tickAt = at
+			d.actions = append(d.actions, Action{Kind: ActionTimer, At: at, Token: 1})
+		}
+	}
+	d.copies = min(d.copies+share, maxCopies)
 	d.actions = append(d.actions, Action{Kind: ActionSend, ID: j.id, Worker: w.id})
 	d.took(w, a)
 }
@@ -308,6 +282,7 @@
 		return
 	}
 	a.started = d.now
+	d.waited(a)
 	a.job.stream = a.job.stream || e.Stream
 	d.learnStart(a)
 }
@@ -319,6 +294,7 @@
 	}
 	j := a.job
 	a.done = true
+	d.waited(a)
 	j.out--
 	last := len(d.out) - 1
 	d.out[a.index] = d.out[last]
@@ -369,6 +345,15 @@
 			a.late = true
 			j.class.sample(lateRatio)
 		}
+		hopeless := a.started == 0 && d.now-j.born >= j.wanted-j.class.median
+		if d.many() && hopeless && !j.ended && j.class.Effect == Idempotent {
+			// It can no more be in time: started late, it would make the next ones late.
+			d.giveUp(j, d.comeBack())
+			continue
+		}
+		if age > j.wanted/2 {
+			d.waited(a) // the worker may hang: others need not wait for that
+		}
 		if a.overdue || a.started != 0 || age < d.startLimit(j) {
 			continue
 		}
@@ -387,6 +372,7 @@
 
 const (
 	copyShare = 0.05 // copies of overdue jobs, as a share of sends
+	moveShare = 0.25 // the same of many dispatchers, where they are moved before they start
 	maxCopies = 5.0  // that may be saved up, for the moment when workers hang
 )
 
@@ -395,6 +381,10 @@
 	limit := j.wanted / 4
 	if !d.cfg.StartNotes {
 		limit = 2 * j.wanted
+	} else if d.many() && j.class.Effect != AtMostOnce && d.cfg.MayCancel {
+		// Of many dispatchers none knows where there is room: a job that has not
+		// started goes on to the next worker as soon as word of a start is late.
+		return min(d.tick, max(d.tick/6, int64(2*d.prompt.avg+4*d.prompt.dev)))
 	}
 	return max(limit, int64(d.starts.avg+4*d.starts.dev))
 }
@@ -421,37 +411,6 @@
 	return m
 }
 
-// update returns the model after one more observation.
-func (m model) update(x [3]float64, w float64) model {
-	var px [3]float64
-	den, err := forgetting, w
-	for i := range px {
-		for k := range x {
-			px[i] += m.cov[i][k] * x[k]
-		}
-		den += x[i] * px[i]
-		err -= m.p[i] * x[i]
-	}
-	trace := 0.0
-	for i := range px {
-		m.p[i] += px[i] / den * err
-		for k := range px {
-			m.cov[i][k] -= px[i] * px[k] / den
-		}
-		trace += m.cov[i][i]
-	}
-	// Without excitation forgetting would let the covariance grow for ever; then
-	// noise alone would move the parameters far enough to reset them.
-	if trace < covMax*forgetting {
-		for i := range m.cov {
-			for k := range m.cov {
-				m.cov[i][k] /= forgetting
-			}
-		}
-	}
-	return m
-}
-
 // moved reports whether a parameter differs by more than the reset share, of
 // itself or, near zero, of the target (which is 1, as is the largest input).
 func (m model) moved(old model) bool {
@@ -465,7 +424,7 @@
 
 // step runs one period with the measured w and returns the new u/u_max.
 func (c *classLoop) step(w float64) float64 {
-	next := c.fit.update([3]float64{c.w1, c.v, c.v1}, w)
+	next := c.fit.update([3]float64{c.w1, c.v, c.v1}, w, forgetting, covMax)
 	v := 1.0
 	if next.moved(c.fit) {
 		c.fit = newModel()
@@ -520,15 +479,6 @@
 
 func (d *Dispatcher) uMax() float64 { return headroom * d.offered * float64(d.cfg.Dispatchers) }
 
-// measured is w(k): the mean over the second's jobs, 0 if there were none.
-func (c *classLoop) measured() float64 {
-	sum := 0.0
-	for _, r := range c.ratios {
-		sum += r
-	}
-	return sum / max(1, float64(len(c.ratios)))
-}
-
 // agree tells peers, where that is allowed, this dispatcher's u and takes the
 // lowest lately heard. Nothing depends on a message arriving.
 func (d *Dispatcher) agree() {
@@ -544,15 +494,6 @@
 	}
 }
 
-func (d *Dispatcher) onMessage(from int, data []byte) {
-	if from < 0 || from >= len(d.peers) || len(data) != 8 {
-		return
-	}
-	if u := math.Float64frombits(binary.LittleEndian.Uint64(data)); u >= 0 {
-		d.peers[from] = peer{u, d.now}
-	}
-}
-
 // ---- Bands and tenants (paper, section 2) ----
 
 const (
@@ -561,22 +502,6 @@
 	partGain = 0.05 // weight of the newest second in this dispatcher's part of the traffic
 )
 
-func (d *Dispatcher) initTenants() {
-	n := max(1, len(d.cfg.Tenants))
-	d.tenants = make([]tenant, n+1) // the last is for requests of no known tenant
-	for i := range d.tenants {
-		d.tenants[i].queues = make([][]*job, len(d.classes))
-		d.tenants[i].classes = make([]flow, len(d.classes))
-	}
-	if d.bands = d.cfg.Bands; len(d.bands) == 0 && len(d.cfg.Tenants) > 0 {
-		d.bands = quotaBand(d.cfg.quotas())
-	}
-	d.refillRates()
-	for i := range d.tenants {
-		d.tenants[i].tokens = d.tenants[i].burst()
-	}
-}
-
 // split divides u among n tenants: whole bands first, then a part of the next by
 // its ratios, then what is left past the last band, which is returned apart.
 func split(u float64, bands []Band, n int) (rates []float64, past float64) {
@@ -619,7 +544,13 @@
 	part, standing := max(d.share, 1/float64(d.cfg.Dispatchers)), d.standing()
 	rates, past := split(u, d.bands, len(d.tenants))
 	for i := range d.tenants {
-		d.tenants[i].rate = rates[i] * part * standing
+		t := &d.tenants[i]
+		t.rate = rates[i] * part * standing
+		if t.margin = 0; d.many() {
+			// A single job is over a rate of one in ten seconds, by chance: offered
+			// strays by this from the rate of a tenant within its share.
+			t.margin = 3 * math.Sqrt(t.rate*rateGain/(2-rateGain))
+		}
 	}
 	d.spareMax = past * part
 }
@@ -672,7 +603,7 @@
 func (t *tenant) burst() float64 { return max(2, t.rate) }
 
 // over reports whether the tenant sends more here than its bands give it.
-func (t *tenant) over() bool { return t.offered > t.rate }
+func (t *tenant) over() bool { return t.offered > t.rate+t.margin }
 
 // refill adds the tokens of the time gone by. What a tenant does not use passes
 // to those that wait.
@@ -704,6 +635,10 @@
 	}
 }
 
+// queueRoom is how many of our jobs that cannot be moved may wait at the workers, so
+// that all dispatchers together keep the queues there short: about one at each.
+func (d *Dispatcher) queueRoom() int { return max(2, len(d.ring)/d.cfg.Dispatchers) }
+
 func (d *Dispatcher) sendAgain() {
 	kept := d.resend[:0]
 	for _, j := range d.resend {
@@ -815,6 +750,11 @@
 	return max(1, j.wanted-j.class.median-int64(d.starts.avg+2*d.starts.dev))
 }
 
+// comeBack is when a client should try again that was refused for want of room.
+func (d *Dispatcher) comeBack() int64 {
+	return d.cfg.MaxRetryAfter/2 + d.rng.Int64N(d.cfg.MaxRetryAfter/2+1)
+}
+
 // expireHeld refuses jobs that have waited too long to be in time.
 func (d *Dispatcher) expireHeld() {
 	for i := range d.tenants {
@@ -826,7 +766,7 @@
 					n++
 					continue
 				}
-				d.giveUp(j, d.cfg.MaxRetryAfter/2+d.rng.Int64N(d.cfg.MaxRetryAfter/2+1))
+				d.giveUp(j, d.comeBack())
 			}
 		}
 	}
@@ -837,6 +777,7 @@
 const (
 	sampled      = 24   // workers looked at for one job, of those with as many
 	crossingJobs = 40.0 // of our jobs, that a crossing at the price of a whole job weighs
+	heavyFrom    = 0.3  // warmth from which a young worker gets other than the lightest jobs
 	fetchJobs    = 2.0  // that a worker's fetch of what a job needs weighs: it holds a slot meanwhile
 )
 
@@ -927,6 +868,9 @@
 	if w.level < 0 || !d.maySend(j, w) || j.req.Among != nil && !slices.Contains(j.req.Among, w.id) {
 		return false
 	}
+	if d.many() && j.class.Effect == AtMostOnce && !d.young(w) && d.waits >= d.queueRoom() {
+		return false
+	}
 	if w.trial && j.class.Effect == AtMostOnce && d.repeatable {
 		return false // a worker that failed is tried with jobs that can be moved
 	}
@@ -952,6 +896,14 @@
 		c += 3 * d.cfg.Prices.Handshake
 	}
 	c += (w.slow - 1) / 3
+	switch {
+	case !d.many():
+	case d.young(w) && d.warmth(w) < heavyFrom && j.class.median > d.lightest():
+		c += crossingJobs
+	case !d.young(w) && j.class.Effect == AtMostOnce:
+		// It stays where it is sent: best where one of ours has just started at once.
+		c += 1 - math.Exp(-float64(d.now-w.good)/float64(5*second))
+	}
 	if j.req.Key != 0 && !w.holds(j.req.Key) {
 		c += fetchJobs
 	}
@@ -999,7 +951,7 @@
 	w.keep(a.job.req.Key)
 	d.inflight += a.slots
 	if d.young(w) {
-		w.coldAt = d.now + d.coldGap(w, a.slots)
+		w.coldFrom, w.coldWork = d.now, a.slots*float64(a.job.class.median)*(0.75+d.rng.Float64()/2)
 	}
 	d.place(w)
 }
@@ -1009,6 +961,9 @@
 func (d *Dispatcher) learnStart(a *attempt) {
 	w, delay := a.worker, d.now-a.sent
 	d.starts.add(float64(delay))
+	if delay < d.tick {
+		d.prompt.add(float64(delay))
+	}
 	late := delay > 2*d.tick
 	if a.overdue {
 		w.overdue--
@@ -1017,6 +972,10 @@
 	d.learnRoom(w, late)
 	if !late {
 		w.trial, w.backoff, w.fulls = false, 0, 0
+		w.good = d.now
+		if a.number > 0 {
+			d.copies = min(d.copies+1, maxCopies)
+		}
 	}
 	d.place(w)
 }
@@ -1028,16 +987,17 @@
 
 // learnRoom moves the worker's cap and the fleet's window after an answer.
 func (d *Dispatcher) learnRoom(w *worker, late bool) {
+	gain := windowGain * min(d.crowd, 8) // each of many sees fewer starts
 	if late {
 		w.cap, w.capped = max(1, min(w.cap, w.own)-0.5), true
-		d.window = max(1, min(d.window, 2*d.inflight)*(1-windowGain))
+		d.window = max(1, min(d.window, 2*d.inflight)*(1-gain))
 		return
 	}
 	if w.own >= w.cap-1 {
 		w.cap, w.capped = w.cap+0.25, true
 	}
 	if d.inflight >= d.window/2 {
-		d.window += d.window * windowGain * lateStarts / (1 - lateStarts)
+		d.window += d.window * gain * lateStarts / (1 - lateStarts)
 	}
 }
 
@@ -1068,7 +1028,8 @@
 		w.slow += (min(float64(run)/float64(max(1, j.class.median)), 4) - w.slow) / 16
 		w.failing *= 0.8
 		if !d.young(w) {
-			d.served += a.slots // not what was sent: refused jobs are no measure of capacity
+			// Not what was sent: refused jobs are no measure of capacity.
+			d.served += a.slots * float64(run) / float64(second)
 		}
 		w.trial, w.backoff = false, 0
 		if !d.cfg.StartNotes {
@@ -1076,17 +1037,15 @@
 		}
 	case Full:
 		d.learnRoom(w, true)
-		// A refusing worker looks free by our count: it must not draw the next job.
-		w.fulls = min(w.fulls+1, 3)
-		pause := j.class.median / 8 << w.fulls
-		w.shut = d.now + pause/2 + d.rng.Int64N(pause/2+1)
+		d.pause(w, j)
 	case Unreachable:
 		w.conns = w.jobs
 		d.shut(w)
 	case Erred, Reset:
-		w.failing += (1 - w.failing) * 0.2
 		// One error is chance; a run of them is a worker that empties its count
-		// fast and so would draw every job.
+		// fast and so would draw every job. Of many dispatchers each meets a worker
+		// seldom: it cannot wait for a run.
+		w.failing += (1 - w.failing) * min(0.2*d.crowd, 0.5)
 		if w.failing > 0.4 || w.trial {
 			d.shut(w)
 		}
@@ -1094,7 +1053,11 @@
 			j.class.sample(lateRatio)
 		}
 	case TimedOut, Cancelled:
-		if a.started == 0 {
+		switch {
+		case a.started != 0:
+		case d.many() && w.fulls < 2 && d.now-a.sent < j.wanted/4:
+			d.pause(w, j) // it was moved early: the worker has a queue, or hangs
+		default:
 			d.shut(w)
 		}
 	}
@@ -1103,11 +1066,20 @@
 
 // ---- Workers' health and cold starts ----
 
+// pause keeps jobs from a worker that has no room now: by our count it looks free, and
+// would draw the next one.
+func (d *Dispatcher) pause(w *worker, j *job) {
+	w.fulls = min(w.fulls+1, 3)
+	pause := j.class.median / 8 << w.fulls
+	w.shut = d.now + pause/2 + d.rng.Int64N(pause/2+1)
+}
+
 // shut keeps jobs from a worker for a while that doubles each time, then lets
 // one job try it.
 func (d *Dispatcher) shut(w *worker) {
 	least := int64(d.starts.avg + 4*d.starts.dev)
-	w.backoff = min(max(2*w.backoff, least, d.tick), 4*second)
+	// Trials add up over the dispatchers.
+	w.backoff = min(max(2*w.backoff, least, d.tick), 4*int64(min(d.crowd, 4))*second)
 	w.shut = d.now + w.backoff + d.rng.Int64N(w.backoff/2+1)
 	w.trial = true
 }
@@ -1124,24 +1096,35 @@
 	return d.cfg.StartCapacity + (1-d.cfg.StartCapacity)*min(max(age, 0), 1)
 }
 
-// coldGap is the time from one send to a young worker to the next. It is paced
-// to what a warm worker gets from us times its share of warmth, so that all
-// dispatchers together send about what it can do.
-func (d *Dispatcher) coldGap(w *worker, slots float64) int64 {
-	rate := d.warmRate * d.warmth(w) * max(1, d.cfg.FallMultiple/2)
+// thawed reports whether a young worker may get our next job: it has had time, since our
+// last, for our part of the work that it can do while it warms up, with some more. So all
+// dispatchers together send about what it can bear.
+func (d *Dispatcher) thawed(w *worker) bool {
+	rate := d.warmRate
 	if rate <= 0 {
-		// Nothing is known: one job of all dispatchers in each window.
-		rate = float64(second) / float64(max(d.cfg.FallWindow, second)*int64(d.cfg.Dispatchers))
+		// Nothing is known: one light job of all dispatchers in each window.
+		rate = float64(d.lightest()) / float64(max(d.cfg.FallWindow, second)*int64(d.cfg.Dispatchers))
+	}
+	from, to := float64(max(w.coldFrom-w.up, 0)), float64(max(d.now-w.up, 0))
+	first, grown := d.cfg.StartCapacity, (to+from)/(2*float64(d.cfg.WarmAfter))
+	done := (to - from) * (first + (1-first)*grown)
+	return rate*max(1, d.cfg.FallMultiple/2)*done >= w.coldWork
+}
+
+// lightest is the median running time of the class that has the least.
+func (d *Dispatcher) lightest() int64 {
+	run := d.classes[0].median
+	for i := range d.classes {
+		run = min(run, d.classes[i].median)
 	}
-	gap := slots / rate * float64(second)
-	return int64(min(gap, float64(d.cfg.WarmAfter)) * (0.75 + d.rng.Float64()/2))
+	return run
 }
 
 // place moves a worker to where it belongs in the room lists.
 func (d *Dispatcher) place(w *worker) {
 	level := -1
 	if w.state == Live && w.overdue == 0 && d.now >= w.shut && w.own < max(1, w.cap) &&
-		!(w.trial && w.jobs > 0) && !(d.young(w) && d.now < w.coldAt) {
+		!(w.trial && w.jobs > 0) && !(d.young(w) && !d.thawed(w)) {
 		level = int(w.own)
 	}
 	if level == w.level {
@@ -1180,18 +1163,6 @@
 	return j.asked > 0
 }
 
-// onProbed ends the wait of the jobs that were waiting for an answer.
-func (d *Dispatcher) onProbed(e *Event) {
-	w := d.workers[e.Worker]
-	if w == nil {
-		return
-	}
-	if e.Code == Served && e.HasLoad {
-		d.report(w, e)
-	}
-	d.endScouting(func(j *job) bool { return true })
-}
-
 // ---- The list of workers ----
 
 func (d *Dispatcher) askForList() {
@@ -1229,7 +1200,7 @@
 	}
 	d.rebuildRing()
 	if kind == ListSaved || d.window == 0 {
-		d.window = d.meanCap() * float64(len(d.ring)) // nothing is known against it
+		d.window = d.meanCap() * float64(len(d.ring)) / d.crowd // nothing is known against it
 	}
 	for _, w := range d.list {
 		d.place(w)
@@ -1265,7 +1236,7 @@
 	w.loaded, w.conns, w.since, w.keys = false, 0, 0, nil
 	w.cap, w.capped = d.meanCap(), false
 	if d.young(w) {
-		w.coldAt = d.now + int64(d.rng.Float64()*float64(d.coldGap(w, 1)))
+		w.coldFrom, w.coldWork = w.up, float64(d.lightest())*d.rng.Float64()
 	}
 }
 
--- /dev/null
+++ b/fleet_test.go
@@ -0,0 +1,164 @@
+package foxlift
+
+import "testing"
+
+// manyConfig is a fleet of 80 dispatchers.
+func manyConfig() Config {
+	cfg := testConfig()
+	cfg.Dispatchers, cfg.Gauges, cfg.MaxAttempts = 80, nil, 3
+	return cfg
+}
+
+// A job of many dispatchers that has not started goes on to another worker within
+// a tick; one of a few waits, and one that must not run twice stays.
+func TestManyMoveJobsBeforeTheyStart(t *testing.T) {
+	for _, c := range []struct {
+		dispatchers, class, moves int
+	}{{80, 0, 2}, {3, 0, 0}, {80, 1, 0}} {
+		cfg := manyConfig()
+		cfg.Dispatchers = c.dispatchers
+		r := newRig(t, cfg, fleet(8)...)
+		r.step(r.request(1, c.class))
+		first := r.want(ActionSend, 1)[0]
+		moves := 0
+		for range 15 { // 15 ms: the tick is 12.5
+			r.after(ms)
+			for _, a := range r.only(ActionSend) {
+				if moves++; a.Worker == first.Worker {
+					t.Error("it is moved to where it was")
+				}
+			}
+			for _, a := range r.only(ActionCancel) {
+				r.step(outcome(1, a.Attempt, r.d.jobs[1].attempts[a.Attempt].worker.id, Cancelled))
+			}
+		}
+		if moves != c.moves {
+			t.Errorf("%+v: %d moves", c, moves)
+		}
+	}
+}
+
+// What can no more be in time is called off and refused, where that is harmless: it
+// would make the jobs behind it late.
+func TestHopelessJobsLeaveTheQueues(t *testing.T) {
+	for class, want := range []int{1, 0} {
+		cfg := manyConfig()
+		cfg.MaxAttempts = 1
+		r := newRig(t, cfg, fleet(8)...)
+		r.step(r.request(1, class))
+		r.want(ActionSend, 1)
+		j := r.d.jobs[1]
+		for r.now < j.born+j.wanted-j.class.median {
+			if r.after(ms); r.now < j.born+j.wanted-j.class.median {
+				r.want(ActionRefuse, 0)
+			}
+		}
+		r.after(r.d.tick)
+		r.want(ActionRefuse, want)
+		r.want(ActionCancel, want)
+	}
+}
+
+// Jobs that cannot be moved wait here while two wait at workers; those that can go on.
+func TestManyKeepQueuesShort(t *testing.T) {
+	r := newRig(t, manyConfig(), fleet(60)...)
+	r.step(r.request(1, 1), r.request(2, 1), r.request(3, 1), r.request(4, 0))
+	sent := r.want(ActionSend, 3)
+	for _, a := range sent {
+		if a.ID == 3 {
+			t.Error("a third job is sent to wait")
+		}
+	}
+	r.after(ms, started(1, 0, r.d.jobs[1].attempts[0].worker.id))
+	if a := r.want(ActionSend, 1)[0]; a.ID != 3 {
+		t.Errorf("job %d is sent once another has started", a.ID)
+	}
+}
+
+// Each of many meets a worker too seldom to wait for a run of errors.
+func TestManyLeaveAnErringWorkerAtOnce(t *testing.T) {
+	for dispatchers, shut := range map[int]bool{80: true, 3: false} {
+		cfg := manyConfig()
+		cfg.Dispatchers = dispatchers
+		r := newRig(t, cfg, fleet(2)...)
+		r.step(r.request(1, 0))
+		a := r.want(ActionSend, 1)[0]
+		r.after(ms, started(1, 0, a.Worker))
+		r.after(ms, outcome(1, 0, a.Worker, Erred))
+		if w := r.d.workers[a.Worker]; (w.shut > r.now) != shut {
+			t.Errorf("%d dispatchers: left alone %v", dispatchers, !shut)
+		}
+	}
+}
+
+// One job of a tenant whose rate here is one in ten seconds is no excess; a run is.
+func TestChanceIsNoExcess(t *testing.T) {
+	cfg := manyConfig()
+	cfg.Tenants = []Tenant{{"a", 8}, {"b", 8}}
+	r := newRig(t, cfg, fleet(8)...)
+	tn := &r.d.tenants[0]
+	for n, want := range []bool{false, false, true, true} {
+		tn.arrived = n
+		if n > 1 {
+			tn.arrived = 10
+		}
+		r.d.refillRates()
+		if tn.over() != want {
+			t.Errorf("second %d: over its share %v", n, !want)
+		}
+	}
+}
+
+// What 80 dispatchers together send to a cold worker is what it can do: it is neither
+// pushed over nor left idle until it is warm.
+func TestColdWorkOfManyAddsUp(t *testing.T) {
+	cfg := manyConfig()
+	const warm = 10 // slots of a warm worker at work for all dispatchers: 800 jobs of 100 ms a second on 8
+	ws := fleet(8)
+	for i := range ws {
+		ws[i].Zone = 0
+	}
+	ws[0].Started = 6 * second
+	var rigs []*rig
+	for i := range cfg.Dispatchers {
+		cfg.Index = i
+		d, err := New(cfg, uint64(i))
+		if err != nil {
+			t.Fatal(err)
+		}
+		r := &rig{t: t, d: d, now: 5 * second}
+		r.step(Event{Kind: EventList, List: ListSaved, Workers: ws[1:]})
+		rigs = append(rigs, r)
+	}
+	var work [20]float64 // sent to the cold worker, by the second
+	running := make([][]Event, len(rigs))
+	id := uint64(0)
+	for now := int64(0); now < 20*second; now += 20 * ms {
+		for i, r := range rigs {
+			r.now = 6*second + now
+			if now == 0 {
+				r.d.warmRate = warm / float64(cfg.Dispatchers)
+				r.step(Event{Kind: EventList, List: ListChanges, Workers: ws[:1]})
+			}
+			if (now/(20*ms)+int64(i))%5 != 0 {
+				continue
+			}
+			id++
+			r.step(append(running[i], r.request(id, 0))...)
+			running[i] = nil
+			for _, a := range r.only(ActionSend) {
+				if a.Worker == "w0" {
+					work[now/second] += 0.1 // it runs until this dispatcher's next turn
+				}
+				r.step(started(a.ID, 0, a.Worker))
+				running[i] = append(running[i], outcome(a.ID, 0, a.Worker, Served))
+			}
+		}
+	}
+	for s, w := range work {
+		able := warm * (cfg.StartCapacity + (1-cfg.StartCapacity)*(float64(s)+0.5)/20)
+		if w > cfg.FallMultiple*able || s > 2 && w < able/2 {
+			t.Errorf("second %d: %.1f slots of work sent, it can do %.1f", s, w, able)
+		}
+	}
+}
--- a/state.go
+++ b/state.go
@@ -5,7 +5,9 @@
 
 import (
 	"cmp"
+	"encoding/binary"
 	"math"
+	"math/rand/v2"
 	"slices"
 )
 
@@ -38,6 +40,7 @@
 	done          bool
 	mayRun        bool // it ended, and may have run
 	overdue       bool // not started in time, and counted so
+	waits         bool // counted in Dispatcher.waits
 	late          bool // entered the regulator at its limit
 }
 
@@ -47,6 +50,7 @@
 	tokens  float64
 	arrived int
 	offered float64
+	margin  float64  // that offered may be over the rate by chance
 	past    float64  // jobs lately sent past its bands
 	blocked int64    // the round of dispatch that found no worker for it
 	queues  [][]*job // by class, oldest first
@@ -86,8 +90,10 @@
 	backoff    int64
 	fulls      int     // refusals in a row
 	trial      bool    // one job only, until it answers
+	good       int64   // when it last started one of our jobs at once
 	failing    float64 // share of late attempts that failed
-	coldAt     int64   // a young worker's next send
+	coldFrom   int64   // a young worker's last send,
+	coldWork   float64 // and the work that it must have had time for before the next
 	slow       float64 // its running times over the class medians
 	load       [MaxGauges]float64
 	loaded     bool
@@ -221,6 +227,131 @@
 	w.state = s
 }
 
+// New returns a Dispatcher for cfg, or an error naming the field that makes cfg
+// impossible to run. All randomness comes from seed.
+func New(cfg Config, seed uint64) (*Dispatcher, error) {
+	if err := cfg.check(); err != nil {
+		return nil, err
+	}
+	d := &Dispatcher{
+		cfg: cfg, rng: rand.New(rand.NewPCG(seed, seed^0x9e3779b97f4a7c15)), began: -1, fade: second,
+		jobs: map[uint64]*job{}, workers: map[string]*worker{}, open: true, copies: maxCopies,
+		peers: make([]peer, cfg.Dispatchers),
+	}
+	aim, kinds := int64(math.MaxInt64), 0
+	for i := range cfg.Classes {
+		c := &cfg.Classes[i]
+		d.classes = append(d.classes, classLoop{Class: c, median: c.Aim, fit: newModel(), v: 1})
+		d.repeatable = d.repeatable || c.Effect != AtMostOnce
+		aim, kinds = min(aim, c.Aim), max(kinds, c.Kind+1)
+	}
+	d.tick = max(aim/8, int64(1e6))
+	d.room = make([][][]*worker, kinds+1)
+	d.crowd = max(1, float64(cfg.Dispatchers)/few)
+	d.initTenants()
+	return d, nil
+}
+
+func (d *Dispatcher) handle(e *Event) {
+	switch e.Kind {
+	case EventRequest:
+		d.accept(&e.Request)
+	case EventList:
+		d.onList(e.List, e.Workers)
+	case EventStarted:
+		d.onStarted(e)
+	case EventOutcome:
+		d.onOutcome(e)
+	case EventClientLeft:
+		if j := d.jobs[e.ID]; j != nil && !j.ended {
+			d.end(j)
+		}
+	case EventProbed:
+		d.onProbed(e)
+	case EventMessage:
+		d.onMessage(e.From, e.Data)
+	case EventQuotas:
+		d.onQuotas(e.Quotas)
+	}
+}
+
+func (d *Dispatcher) initTenants() {
+	n := max(1, len(d.cfg.Tenants))
+	d.tenants = make([]tenant, n+1) // the last is for requests of no known tenant
+	for i := range d.tenants {
+		d.tenants[i].queues = make([][]*job, len(d.classes))
+		d.tenants[i].classes = make([]flow, len(d.classes))
+	}
+	if d.bands = d.cfg.Bands; len(d.bands) == 0 && len(d.cfg.Tenants) > 0 {
+		d.bands = quotaBand(d.cfg.quotas())
+	}
+	d.refillRates()
+	for i := range d.tenants {
+		d.tenants[i].tokens = d.tenants[i].burst()
+	}
+}
+
+func (d *Dispatcher) onMessage(from int, data []byte) {
+	if from < 0 || from >= len(d.peers) || len(data) != 8 {
+		return
+	}
+	if u := math.Float64frombits(binary.LittleEndian.Uint64(data)); u >= 0 {
+		d.peers[from] = peer{u, d.now}
+	}
+}
+
+// onProbed ends the wait of the jobs that were waiting for an answer.
+func (d *Dispatcher) onProbed(e *Event) {
+	w := d.workers[e.Worker]
+	if w == nil {
+		return
+	}
+	if e.Code == Served && e.HasLoad {
+		d.report(w, e)
+	}
+	d.endScouting(func(j *job) bool { return true })
+}
+
+// measured is w(k): the mean over the second's jobs, 0 if there were none.
+func (c *classLoop) measured() float64 {
+	sum := 0.0
+	for _, r := range c.ratios {
+		sum += r
+	}
+	return sum / max(1, float64(len(c.ratios)))
+}
+
+// update returns the model after one more observation.
+func (m model) update(x [3]float64, w, forgetting, covMax float64) model {
+	var px [3]float64
+	den, err := forgetting, w
+	for i := range px {
+		for k := range x {
+			px[i] += m.cov[i][k] * x[k]
+		}
+		den += x[i] * px[i]
+		err -= m.p[i] * x[i]
+	}
+	trace := 0.0
+	for i := range px {
+		m.p[i] += px[i] / den * err
+		for k := range px {
+			m.cov[i][k] -= px[i] * px[k] / den
+		}
+		trace += m.cov[i][i]
+	}
+	// Without excitation forgetting would let the covariance grow for ever; then
+	// noise alone would move the parameters far enough to reset them.
+	if trace < covMax*forgetting {
+		for i := range m.cov {
+			for k := range m.cov {
+				m.cov[i][k] /= forgetting
+			}
+		}
+	}
+	return m
+}
+
 // attemptOf finds the attempt that an event is about, or nil.
 func (d *Dispatcher) attemptOf(e *Event) *attempt {
 	j := d.jobs[e.ID]
@@ -242,6 +373,14 @@
 	}
 }
 
+// waited ends an attempt's wait for its start.
+func (d *Dispatcher) waited(a *attempt) {
+	if a.waits {
+		a.waits = false
+		d.waits--
+	}
+}
+
 // forget drops a job that has ended once all its attempts have.
 func (d *Dispatcher) forget(j *job) {
 	if j.ended && j.out == 0 {
