Keep erring workers shut though they start jobs; send last tries where one has just started

Ruled out: that other schedulers share in it (15 to 22 of 80 met each worker).

A start clears only a worker that does not fail what it starts; pauses of many dispatchers begin at 1 s; a job's last attempt goes, like one that must not run twice, where one has just started.

--- a/dispatcher.go
+++ b/dispatcher.go
@@ -900,7 +900,7 @@
 	case !d.many():
 	case d.young(w) && d.warmth(w) < heavyFrom && j.class.median > d.lightest():
 		c += crossingJobs
-	case !d.young(w) && j.class.Effect == AtMostOnce:
+	case !d.young(w) && (j.class.Effect == AtMostOnce || j.req.Tried+len(j.attempts)+1 == d.cfg.MaxAttempts):
 		// It stays where it is sent: best where one of ours has just started at once.
 		c += 1 - math.Exp(-float64(d.now-w.good)/float64(5*second))
 	}
@@ -971,8 +971,9 @@
 	}
 	d.learnRoom(w, late)
 	if !late {
-		w.trial, w.backoff, w.fulls = false, 0, 0
-		w.good = d.now
+		if w.fulls, w.good = 0, d.now; w.failing <= failingMost {
+			w.trial, w.backoff = false, 0 // one that fails what it starts shows its health at the end
+		}
 		if a.number > 0 {
 			d.copies = min(d.copies+1, maxCopies)
 		}
@@ -983,6 +984,8 @@
 const (
 	lateStarts = 0.25 // share of late starts at which the window stays
 	windowGain = 0.01 // share of the window that one start moves it by, at most
+
+	failingMost = 0.4 // share of failures among a worker's late attempts that is no chance
 )
 
 // learnRoom moves the worker's cap and the fleet's window after an answer.
@@ -1046,10 +1049,10 @@
 		// fast and so would draw every job. Of many dispatchers each meets a worker
 		// seldom: it cannot wait for a run.
 		w.failing += (1 - w.failing) * min(0.2*d.crowd, 0.5)
-		if w.failing > 0.4 || w.trial {
+		if w.failing > failingMost || w.trial {
 			d.shut(w)
 		}
-		if w.failing < 0.4 && !a.late {
+		if w.failing < failingMost && !a.late {
 			j.class.sample(lateRatio)
 		}
 	case TimedOut, Cancelled:
@@ -1078,6 +1081,9 @@
 // one job try it.
 func (d *Dispatcher) shut(w *worker) {
 	least := int64(d.starts.avg + 4*d.starts.dev)
+	if d.many() {
+		least = max(least, second)
+	}
 	// Trials add up over the dispatchers.
 	w.backoff = min(max(2*w.backoff, least, d.tick), 4*int64(min(d.crowd, 4))*second)
 	w.shut = d.now + w.backoff + d.rng.Int64N(w.backoff/2+1)
--- a/fleet_test.go
+++ b/fleet_test.go
@@ -91,6 +91,24 @@
 	}
 }
 
+// A start is no sign of health where what started fails: the pause goes on growing.
+func TestStartsDoNotClearAnErringWorker(t *testing.T) {
+	r := newRig(t, manyConfig(), fleet(1)...)
+	w := r.d.list[0]
+	before := int64(0)
+	for id := uint64(1); id <= 4; id++ {
+		r.now = max(r.now, w.shut) + r.d.tick
+		r.step(r.request(id, 0))
+		r.want(ActionSend, 1)
+		r.after(ms, started(id, 0, w.id))
+		r.after(ms, outcome(id, 0, w.id, Erred))
+		if pause := w.shut - r.now; pause < second || w.backoff < 2*before {
+			t.Errorf("error %d: left alone for %d, backoff %d after %d", id, pause, w.backoff, before)
+		}
+		before = w.backoff
+	}
+}
+
 // One job of a tenant whose rate here is one in ten seconds is no excess; a run is.
 func TestChanceIsNoExcess(t *testing.T) {
 	cfg := manyConfig()
