Send what stays where one has just started; let light jobs set how long the rest may wait

Of many dispatchers: twice queueRoom also binds at young workers; a worker where none of ours has lately started at once weighs three jobs; held and unstarted jobs go by the runs' lower quartile.

--- a/dispatcher.go
+++ b/dispatcher.go
@@ -345,7 +345,7 @@
 			a.late = true
 			j.class.sample(lateRatio)
 		}
-		hopeless := a.started == 0 && d.now-j.born >= j.wanted-j.class.median
+		hopeless := a.started == 0 && d.now-j.born >= d.timely(j)-j.class.median
 		if d.many() && hopeless && !j.ended && j.class.Effect == Idempotent {
 			// It can no more be in time: started late, it would make the next ones late.
 			d.giveUp(j, d.comeBack())
@@ -454,7 +454,7 @@
 			c.step(c.measured())
 			c.ratios = c.ratios[:0]
 		}
-		c.median = medianOf(c.runs, c.median)
+		c.median, c.quick = quantile(c.runs, 0.5, c.median), quantile(c.runs, 0.25, c.quick)
 		d.fade = max(d.fade, 2*c.median)
 		v = min(v, c.v)
 	}
@@ -747,7 +747,17 @@
 	if j.tenant.over() {
 		return max(1, j.class.Aim/2)
 	}
-	return max(1, j.wanted-j.class.median-int64(d.starts.avg+2*d.starts.dev))
+	return max(1, d.timely(j)-j.class.median-int64(d.starts.avg+2*d.starts.dev))
+}
+
+// timely is the time in which a job without a hint is surely in time. The median that
+// stands for its own work has fetches and slow machines in it: what is wanted of a light job is
+// less, and many dispatchers have no queue to spare for those that fail it.
+func (d *Dispatcher) timely(j *job) int64 {
+	if !d.many() || j.req.Size > 0 {
+		return j.wanted
+	}
+	return j.class.Aim + int64(j.class.Stretch*float64(j.class.quick))
 }
 
 // comeBack is when a client should try again that was refused for want of room.
@@ -777,6 +787,7 @@
 const (
 	sampled      = 24   // workers looked at for one job, of those with as many
 	crossingJobs = 40.0 // of our jobs, that a crossing at the price of a whole job weighs
+	unproven     = 3.0  // that a worker weighs where none of ours has lately started at once
 	heavyFrom    = 0.3  // warmth from which a young worker gets other than the lightest jobs
 	fetchJobs    = 2.0  // that a worker's fetch of what a job needs weighs: it holds a slot meanwhile
 )
@@ -868,7 +879,11 @@
 	if w.level < 0 || !d.maySend(j, w) || j.req.Among != nil && !slices.Contains(j.req.Among, w.id) {
 		return false
 	}
-	if d.many() && j.class.Effect == AtMostOnce && !d.young(w) && d.waits >= d.queueRoom() {
+	room := d.queueRoom()
+	if d.young(w) {
+		room *= 2 // it mostly has room, and is paced
+	}
+	if d.many() && j.class.Effect == AtMostOnce && d.waits >= room {
 		return false
 	}
 	if w.trial && j.class.Effect == AtMostOnce && d.repeatable {
@@ -900,9 +915,9 @@
 	case !d.many():
 	case d.young(w) && d.warmth(w) < heavyFrom && j.class.median > d.lightest():
 		c += crossingJobs
-	case !d.young(w) && (j.class.Effect == AtMostOnce || j.req.Tried+len(j.attempts)+1 == d.cfg.MaxAttempts):
+	case j.class.Effect == AtMostOnce || j.req.Tried+len(j.attempts)+1 == d.cfg.MaxAttempts:
 		// It stays where it is sent: best where one of ours has just started at once.
-		c += 1 - math.Exp(-float64(d.now-w.good)/float64(5*second))
+		c += unproven * (1 - math.Exp(-float64(d.now-w.good)/float64(5*second)))
 	}
 	if j.req.Key != 0 && !w.holds(j.req.Key) {
 		c += fetchJobs
--- a/fleet_test.go
+++ b/fleet_test.go
@@ -109,6 +109,41 @@
 	}
 }
 
+// A job that stays where it is sent goes where one has just started at once, though that
+// worker has a job of ours: the others may hang.
+func TestWhatStaysGoesWhereOneHasStarted(t *testing.T) {
+	ws := fleet(10)
+	for i := range ws {
+		ws[i].Zone = 0
+	}
+	r := newRig(t, manyConfig(), ws...)
+	r.step(r.request(1, 0))
+	proven := r.want(ActionSend, 1)[0].Worker
+	r.after(ms, started(1, 0, proven))
+	r.after(10*ms, r.request(2, 1))
+	if a := r.want(ActionSend, 1)[0]; a.Worker != proven {
+		t.Errorf("it goes to %s, one started at %s", a.Worker, proven)
+	}
+}
+
+// In many dispatchers a light job must not be held, or left in a queue, for the time
+// that a heavy one of its class has.
+func TestTimelyGoesByLightJobs(t *testing.T) {
+	for dispatchers, want := range map[int]int64{3: 100 + 2*80, 80: 100 + 2*50} {
+		cfg := manyConfig()
+		cfg.Dispatchers = dispatchers
+		r := newRig(t, cfg, fleet(2)...)
+		for run := range int64(40) {
+			r.d.classes[0].ran((run/10*30 + 20) * ms) // 20, 50, 80 and 110 ms
+		}
+		r.after(2 * second)
+		r.step(r.request(1, 0))
+		if got := r.d.timely(r.d.jobs[1]); got != want*ms {
+			t.Errorf("%d dispatchers: timely is %d ms, want %d", dispatchers, got/ms, want)
+		}
+	}
+}
+
 // One job of a tenant whose rate here is one in ten seconds is no excess; a run is.
 func TestChanceIsNoExcess(t *testing.T) {
 	cfg := manyConfig()
--- a/state.go
+++ b/state.go
@@ -134,15 +134,15 @@
 	m.avg += (x - m.avg) / 64
 }
 
-// medianOf returns the median, or other if there are too few to tell.
-func medianOf(runs []int64, other int64) int64 {
+// quantile returns a quantile, or other if there are too few to tell.
+func quantile(runs []int64, share float64, other int64) int64 {
 	if len(runs) < minJobs {
 		return other
 	}
 	var s [64]int64
 	n := copy(s[:], runs)
 	slices.Sort(s[:n])
-	return s[n/2]
+	return s[int(share*float64(n))]
 }
 
 // moveTo puts a worker into another of the room lists, or, for a negative level,
@@ -189,6 +189,7 @@
 	*Class
 	patience int64 // the longest that a client waits, as seen
 	median   int64 // of recent running times
+	quick    int64 // their lower quartile
 	runs     []int64
 	ratios   []float64 // job time over wanted time, this second
 	fit      model
@@ -241,7 +242,7 @@
 	aim, kinds := int64(math.MaxInt64), 0
 	for i := range cfg.Classes {
 		c := &cfg.Classes[i]
-		d.classes = append(d.classes, classLoop{Class: c, median: c.Aim, fit: newModel(), v: 1})
+		d.classes = append(d.classes, classLoop{Class: c, median: c.Aim, quick: c.Aim, fit: newModel(), v: 1})
 		d.repeatable = d.repeatable || c.Effect != AtMostOnce
 		aim, kinds = min(aim, c.Aim), max(kinds, c.Kind+1)
 	}
