--- a/dispatcher.go
+++ b/dispatcher.go
@@ -989,7 +989,7 @@
 		if w.fulls, w.good = 0, d.now; w.failing <= failingMost {
 			w.trial, w.backoff = false, 0 // one that fails what it starts shows its health at the end
 		}
-		if a.number > 0 {
+		if d.many() && a.number > 0 {
 			d.copies = min(d.copies+1, maxCopies)
 		}
 	}
