--- /dev/null
+++ b/bench_test.go
@@ -0,0 +1,72 @@
+package foxlift
+
+import (
+	"fmt"
+	"testing"
+)
+
+// benchRig is a dispatcher of a large fleet with warm workers.
+func benchRig(b *testing.B, workers, tenants int) *Dispatcher {
+	cfg := testConfig()
+	cfg.Dispatchers, cfg.Gauges, cfg.Tenants = 80, nil, nil
+	for i := range tenants {
+		cfg.Tenants = append(cfg.Tenants, Tenant{fmt.Sprint("t", i), 1e6})
+	}
+	d, err := New(cfg, 1)
+	if err != nil {
+		b.Fatal(err)
+	}
+	d.Step(second, []Event{{Kind: EventList, List: ListSaved, Workers: fleet(workers)}})
+	return d
+}
+
+// BenchmarkJob is a job's whole life: it comes, is sent, starts and is served.
+func BenchmarkJob(b *testing.B) {
+	for _, size := range []struct{ workers, tenants int }{{15, 8}, {60, 8}, {600, 8}, {60, 80}} {
+		b.Run(fmt.Sprintf("workers=%d/tenants=%d", size.workers, size.tenants), func(b *testing.B) {
+			d := benchRig(b, size.workers, size.tenants)
+			now := 2 * second
+			for id := uint64(1); b.Loop(); id++ {
+				now += ms
+				as := d.Step(now, []Event{{Kind: EventRequest, Request: Request{
+					ID: id, Tenant: int(id) % size.tenants, Deadline: now + 2*second}}})
+				for _, a := range as {
+					if a.Kind == ActionSend {
+						worker := a.Worker
+						d.Step(now, []Event{started(id, a.Attempt, worker), outcome(id, a.Attempt, worker, Served)})
+						break
+					}
+				}
+			}
+		})
+	}
+}
+
+// BenchmarkTick is a look after all that depends on time, with jobs held that no worker
+// has room for.
+func BenchmarkTick(b *testing.B) {
+	for _, size := range []struct{ workers, held int }{{15, 0}, {60, 0}, {600, 0}, {60, 100}, {60, 1000}} {
+		b.Run(fmt.Sprintf("workers=%d/held=%d", size.workers, size.held), func(b *testing.B) {
+			d := benchRig(b, size.workers, 8)
+			now := 2 * second
+			for _, w := range d.list {
+				w.shut = 1 << 62
+				d.place(w)
+			}
+			var news []Event
+			for id := range size.held {
+				news = append(news, Event{Kind: EventRequest, Request: Request{
+					ID: uint64(id) + 1, Tenant: id % 8, Deadline: 1 << 62}})
+			}
+			d.classes[0].Aim = 1 << 60 // they may wait for ever
+			d.Step(now, news)
+			for b.Loop() {
+				now += d.tick
+				d.Step(now, nil)
+			}
+			if len(d.jobs) != size.held {
+				b.Fatalf("%d jobs are left of %d", len(d.jobs), size.held)
+			}
+		})
+	}
+}
--- a/dispatcher.go
+++ b/dispatcher.go
@@ -475,8 +475,12 @@
 		d.warmRate = max(d.warmNow, d.warmRate*peakKept)
 	}
 	d.served = 0
+	d.forgetGone(d.now - keepGone)
 }
 
+// keepGone is how long a worker that is gone counts as lost and may come back as itself.
+const keepGone = 60 * second
+
 func (d *Dispatcher) uMax() float64 { return headroom * d.offered * float64(d.cfg.Dispatchers) }
 
 // agree tells peers, where that is allowed, this dispatcher's u and takes the
@@ -1216,7 +1220,7 @@
 	}
 	for _, w := range d.list {
 		if kind != ListChanges && w.listed != d.lists {
-			w.setState(Gone)
+			w.setState(Gone, d.now)
 		}
 	}
 	d.rebuildRing()
@@ -1239,7 +1243,7 @@
 		d.list = append(d.list, w)
 	}
 	d.moveTo(w, -1) // its kind may change
-	w.setState(e.State)
+	w.setState(e.State, d.now)
 	w.zone, w.kind, w.cell, w.listed = e.Zone, e.Kind, e.Cell, d.lists
 	w.own, w.others = w.own+e.Others-w.others, e.Others
 	if w.kind+1 >= len(d.room) {
--- a/fleet_test.go
+++ b/fleet_test.go
@@ -215,3 +215,27 @@
 		}
 	}
 }
+
+// Workers that are gone are dropped after a while, and not before nothing is out there.
+func TestGoneWorkersAreForgotten(t *testing.T) {
+	r := newRig(t, manyConfig(), fleet(3)...)
+	r.step(r.request(1, 1))
+	busy := r.want(ActionSend, 1)[0].Worker
+	r.step(Event{Kind: EventList, List: ListFull, Workers: []Worker{{ID: "new"}}})
+	for _, c := range []struct {
+		after int64
+		left  int
+	}{{keepGone - 2*second, 4}, {4 * second, 2}} {
+		for end := r.now + c.after; r.now < end; {
+			r.after(second)
+		}
+		if len(r.d.list) != c.left || len(r.d.workers) != c.left {
+			t.Errorf("after %d s %d workers, want %d", (r.now-5*second)/second, len(r.d.list), c.left)
+		}
+	}
+	r.step(outcome(1, 0, busy, Reset))
+	r.after(2 * second)
+	if r.d.workers[busy] != nil || len(r.d.list) != 1 {
+		t.Errorf("%d workers, want the new one", len(r.d.list))
+	}
+}
--- a/state.go
+++ b/state.go
@@ -76,6 +76,7 @@
 	state            WorkerState
 	listed           int64 // number of the last list event that named it
 	lost             bool  // went without a drain, and is not back and warm
+	went             int64 // when the list last named it otherwise than gone
 	up               int64 // when it started; 0: long ago
 	hash             uint64
 
@@ -223,11 +224,32 @@
 }
 
 // setState notes what the list says of a worker.
-func (w *worker) setState(s WorkerState) {
+func (w *worker) setState(s WorkerState, now int64) {
 	w.lost = w.lost || w.state == Live && s == Gone
+	if w.state != Gone {
+		w.went = now
+	}
 	w.state = s
 }
 
+// forgetGone drops the workers that have been gone since before a time, once nothing is
+// counted there: a fleet that replaces its workers for months must not cost more by the day.
+func (d *Dispatcher) forgetGone(before int64) {
+	d.list = slices.DeleteFunc(d.list, func(w *worker) bool {
+		if w.state != Gone || w.went >= before || w.jobs > 0 || w.own != 0 || w.overdue > 0 {
+			return false
+		}
+		d.moveTo(w, -1)
+		delete(d.workers, w.id)
+		for i, f := range d.fresh {
+			if f == w {
+				d.fresh[i] = nil
+			}
+		}
+		return true
+	})
+}
+
 // New returns a Dispatcher for cfg, or an error naming the field that makes cfg
 // impossible to run. All randomness comes from seed.
 func New(cfg Config, seed uint64) (*Dispatcher, error) {
