Let schedulers that have just started pace cold workers by windows, however cold

At fault: thawed took the rate of a dispatcher that knows none, one light job of all in a window, and scaled it by warmth as well: a fifth of it, where coldGap had the whole.

That rate now holds as it stands, and the first second's work counts whole in warmNow. The test fails without it: 1 job in 4 windows by 3 dispatchers.

--- a/dispatcher.go
+++ b/dispatcher.go
@@ -471,7 +471,7 @@
 	if warm > 0 {
 		// A peak is held for a while: what workers once served they can serve, also
 		// when traffic or a failure keeps them from it now.
-		d.warmNow += (d.served/float64(warm) - d.warmNow) * rateGain
+		d.warmNow += (d.served/float64(warm) - d.warmNow) * max(rateGain, 1/float64(d.period))
 		d.warmRate = max(d.warmNow, d.warmRate*peakKept)
 	}
 	d.served = 0
@@ -1125,15 +1125,15 @@
 // last, for our part of the work that it can do while it warms up, with some more. So all
 // dispatchers together send about what it can bear.
 func (d *Dispatcher) thawed(w *worker) bool {
-	rate := d.warmRate
-	if rate <= 0 {
+	if d.warmRate <= 0 {
 		// Nothing is known: one light job of all dispatchers in each window.
-		rate = float64(d.lightest()) / float64(max(d.cfg.FallWindow, second)*int64(d.cfg.Dispatchers))
+		windows := float64(d.now-w.coldFrom) / float64(max(d.cfg.FallWindow, second))
+		return windows*float64(d.lightest()) >= w.coldWork*float64(d.cfg.Dispatchers)
 	}
 	from, to := float64(max(w.coldFrom-w.up, 0)), float64(max(d.now-w.up, 0))
 	first, grown := d.cfg.StartCapacity, (to+from)/(2*float64(d.cfg.WarmAfter))
 	done := (to - from) * (first + (1-first)*grown)
-	return rate*max(1, d.cfg.FallMultiple/2)*done >= w.coldWork
+	return d.warmRate*max(1, d.cfg.FallMultiple/2)*done >= w.coldWork
 }
 
 // lightest is the median running time of the class that has the least.
--- a/fleet_test.go
+++ b/fleet_test.go
@@ -239,3 +239,33 @@
 		t.Errorf("%d workers, want the new one", len(r.d.list))
 	}
 }
+
+// A dispatcher that has just started knows nothing of what workers do: all together send a
+// cold one a light job in each window, however cold it is.
+func TestColdPaceAfterARestart(t *testing.T) {
+	for _, dispatchers := range []int{3, 80} {
+		cfg := manyConfig()
+		cfg.Dispatchers = dispatchers
+		ws := fleet(1)
+		ws[0].Started = 5 * second
+		sent := 0
+		for i := range dispatchers {
+			d, err := New(cfg, uint64(i))
+			if err != nil {
+				t.Fatal(err)
+			}
+			r := &rig{t: t, d: d, now: 5 * second}
+			r.step(Event{Kind: EventList, List: ListSaved, Workers: ws})
+			for id := uint64(1); r.now < 5*second+4*cfg.FallWindow; id++ {
+				r.after(50*ms, r.request(id, 0))
+				for _, a := range r.only(ActionSend) {
+					sent++
+					r.step(started(a.ID, a.Attempt, a.Worker))
+				}
+			}
+		}
+		if sent < 2 || sent > 8 {
+			t.Errorf("%d dispatchers sent %d light jobs in 4 windows, want about 4", dispatchers, sent)
+		}
+	}
+}
