One count of attempts left; a mutant that applies again; less in the way of fits

Found in reading the whole change for many schedulers, behaviour as it was: - setState's new parameter left the mutant 'drains are not heard' with text that the module no longer has, so 'foxlift-lab mutants' would have failed; it applies, and is caught by TestModel. - cost wrote the check on the last attempt a third time beside maySend and retry: attemptsLeft. - fits worked out queueRoom, and checkOverdue timely, for few schedulers that use neither. - forgetGone asked for what the end of its jobs implies, moved a worker that the list had placed, and compared a sum of floats with 0, of which slots that are no whole numbers can leave a rest. - two tests built the rig by hand: newSeededRig.

--- a/dispatcher.go
+++ b/dispatcher.go
@@ -177,7 +177,7 @@
 	if j.ended || j.stream || d.now >= j.req.Deadline || w.state != Live {
 		return false
 	}
-	if d.cfg.MaxAttempts > 0 && j.req.Tried+len(j.attempts) >= d.cfg.MaxAttempts {
+	if d.attemptsLeft(j) <= 0 {
 		return false
 	}
 	if j.out > 0 && !d.cfg.MayCopy {
@@ -322,9 +322,8 @@
 	if j.out > 0 {
 		return // another attempt may still serve it
 	}
-	spent := d.cfg.MaxAttempts > 0 && j.req.Tried+len(j.attempts) >= d.cfg.MaxAttempts
 	closed := j.class.Effect == AtMostOnce && j.mayRan != nil
-	if spent || closed || d.now+d.tick >= j.req.Deadline {
+	if d.attemptsLeft(j) <= 0 || closed || d.now+d.tick >= j.req.Deadline {
 		d.giveUp(j, 0)
 		return
 	}
@@ -345,8 +344,8 @@
 			a.late = true
 			j.class.sample(lateRatio)
 		}
-		hopeless := a.started == 0 && d.now-j.born >= d.timely(j)-j.class.median
-		if d.many() && hopeless && !j.ended && j.class.Effect == Idempotent {
+		if d.many() && a.started == 0 && !j.ended && j.class.Effect == Idempotent &&
+			d.now-j.born >= d.timely(j)-j.class.median {
 			// It can no more be in time: started late, it would make the next ones late.
 			d.giveUp(j, d.comeBack())
 			continue
@@ -883,12 +882,14 @@
 	if w.level < 0 || !d.maySend(j, w) || j.req.Among != nil && !slices.Contains(j.req.Among, w.id) {
 		return false
 	}
-	room := d.queueRoom()
-	if d.young(w) {
-		room *= 2 // it mostly has room, and is paced
-	}
-	if d.many() && j.class.Effect == AtMostOnce && d.waits >= room {
-		return false
+	if d.many() && j.class.Effect == AtMostOnce {
+		room := d.queueRoom()
+		if d.young(w) {
+			room *= 2 // it mostly has room, and is paced
+		}
+		if d.waits >= room {
+			return false
+		}
 	}
 	if w.trial && j.class.Effect == AtMostOnce && d.repeatable {
 		return false // a worker that failed is tried with jobs that can be moved
@@ -919,7 +920,7 @@
 	case !d.many():
 	case d.young(w) && d.warmth(w) < heavyFrom && j.class.median > d.lightest():
 		c += crossingJobs
-	case j.class.Effect == AtMostOnce || j.req.Tried+len(j.attempts)+1 == d.cfg.MaxAttempts:
+	case j.class.Effect == AtMostOnce || d.attemptsLeft(j) == 1:
 		// It stays where it is sent: best where one of ours has just started at once.
 		c += unproven * (1 - math.Exp(-float64(d.now-w.good)/float64(5*second)))
 	}
@@ -990,7 +991,8 @@
 	}
 	d.learnRoom(w, late)
 	if !late {
-		if w.fulls, w.good = 0, d.now; w.failing <= failingMost {
+		w.fulls, w.good = 0, d.now
+		if w.failing <= failingMost {
 			w.trial, w.backoff = false, 0 // one that fails what it starts shows its health at the end
 		}
 		if d.many() && a.number > 0 {
--- a/dispatcher_test.go
+++ b/dispatcher_test.go
@@ -37,7 +37,12 @@
 
 func newRig(t *testing.T, cfg Config, workers ...Worker) *rig {
 	t.Helper()
-	d, err := New(cfg, 1)
+	return newSeededRig(t, cfg, 1, workers...)
+}
+
+func newSeededRig(t *testing.T, cfg Config, seed uint64, workers ...Worker) *rig {
+	t.Helper()
+	d, err := New(cfg, seed)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/fleet_test.go
+++ b/fleet_test.go
@@ -175,13 +175,7 @@
 	var rigs []*rig
 	for i := range cfg.Dispatchers {
 		cfg.Index = i
-		d, err := New(cfg, uint64(i))
-		if err != nil {
-			t.Fatal(err)
-		}
-		r := &rig{t: t, d: d, now: 5 * second}
-		r.step(Event{Kind: EventList, List: ListSaved, Workers: ws[1:]})
-		rigs = append(rigs, r)
+		rigs = append(rigs, newSeededRig(t, cfg, uint64(i), ws[1:]...))
 	}
 	var work [20]float64 // sent to the cold worker, by the second
 	running := make([][]Event, len(rigs))
@@ -250,12 +244,7 @@
 		ws[0].Started = 5 * second
 		sent := 0
 		for i := range dispatchers {
-			d, err := New(cfg, uint64(i))
-			if err != nil {
-				t.Fatal(err)
-			}
-			r := &rig{t: t, d: d, now: 5 * second}
-			r.step(Event{Kind: EventList, List: ListSaved, Workers: ws})
+			r := newSeededRig(t, cfg, uint64(i), ws...)
 			for id := uint64(1); r.now < 5*second+4*cfg.FallWindow; id++ {
 				r.after(50*ms, r.request(id, 0))
 				for _, a := range r.only(ActionSend) {
--- a/internal/lab/mutants.go
+++ b/internal/lab/mutants.go
@@ -37,7 +37,7 @@
 	{"an answer is forgotten", "internal/core/book.go", "\tj.Submitter.Answer(a)\n", "\tif j.number%5 != 0 {\n\t\tj.Submitter.Answer(a)\n\t}\n", "./internal/core", modelFuzz},
 	{"a reset counts as never run", "api.go", "c == Unreachable || c == NotSent", "c == Unreachable || c == NotSent || c == Reset", "./internal/core", modelFuzz},
 	{"a timed-out claim counts as never run", "api.go", "c == Unreachable || c == NotSent", "c == Unreachable || c == NotSent || c == TimedOut", "./internal/core", modelFuzz},
-	{"drains are not heard", "dispatcher.go", "\tw.setState(e.State)\n", "\tif e.State != Draining {\n\t\tw.setState(e.State)\n\t}\n", "./internal/core", modelFuzz},
+	{"drains are not heard", "dispatcher.go", "\tw.setState(e.State, d.now)\n", "\tif e.State != Draining {\n\t\tw.setState(e.State, d.now)\n\t}\n", "./internal/core", modelFuzz},
 	{"a refusal is promised after it may have run", "dispatcher.go", "	case AtMostOnce:\n\t\treturn j.mayRan == nil\n", "	case AtMostOnce:\n\t\treturn true\n", "./internal/core", modelFuzz},
 	{"a claim is counted twice", "internal/core/send.go", "c.count(cl, 1)", "c.count(cl, 2)", "./internal/core", modelFuzz},
 	{"a claim's end is not counted", "internal/core/relay.go", "\tc.count(cl, -1)\n", "", "./internal/core", modelFuzz},
--- a/state.go
+++ b/state.go
@@ -236,10 +236,9 @@
 // counted there: a fleet that replaces its workers for months must not cost more by the day.
 func (d *Dispatcher) forgetGone(before int64) {
 	d.list = slices.DeleteFunc(d.list, func(w *worker) bool {
-		if w.state != Gone || w.went >= before || w.jobs > 0 || w.own != 0 || w.overdue > 0 {
+		if w.state != Gone || w.went >= before || w.jobs > 0 || w.others != 0 {
 			return false
 		}
-		d.moveTo(w, -1)
 		delete(d.workers, w.id)
 		for i, f := range d.fresh {
 			if f == w {
@@ -396,6 +395,14 @@
 	}
 }
 
+// attemptsLeft is how many more attempts a job may have.
+func (d *Dispatcher) attemptsLeft(j *job) int {
+	if d.cfg.MaxAttempts <= 0 {
+		return math.MaxInt
+	}
+	return d.cfg.MaxAttempts - j.req.Tried - len(j.attempts)
+}
+
 // waited ends an attempt's wait for its start.
 func (d *Dispatcher) waited(a *attempt) {
 	if a.waits {
