Wait in the descriptor test until a held job is at a node, or refused by the module

One open job less let each later job in past the budget, where it waited out its 19 s.

Change: the test counts a job as held only once its node has it, and submits another in place of one the module refused (checked to be 503); the jobs past the budget must then all be refused by jobs.too_many.

--- a/internal/platform/rules_test.go
+++ b/internal/platform/rules_test.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"os"
 	"strings"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -479,8 +480,10 @@
 // once, and none waits unread until its submitter gives up.
 func TestMoreJobsThanDescriptors(t *testing.T) {
 	release := make(chan bool)
+	var atNodes atomic.Int64
 	handle := func(c net.Conn, r *http.Request, id string) bool {
 		sayStates(c, id, false, `"started"`)
+		atNodes.Add(1)
 		<-release
 		return false
 	}
@@ -489,22 +492,34 @@
 		nodes = append(nodes, newNode(t, handle))
 	}
 	p, set := startWith(t, 80, "", nodes...)
-	refused := 0
 	var held []*toySubmitter
-	for i := range p.front.budget + 20 {
+	for i := 0; len(held) < p.front.mostJobs(); i++ {
 		s := connect(t, p)
-		s.send(t, jobText("ratify", fmt.Sprint("j", i), "19000m", ""))
-		if i < p.front.mostJobs() {
-			await(t, "taken", func() bool { return set.Get("jobs.taken") == int64(i+1) })
+		s.send(t, jobText("ratify", fmt.Sprint("h", i), "19000m", ""))
+		// At a node a job that must not run twice stays open. One that the module
+		// still holds, where starts are heard late, may be refused: it never ran.
+		before := set.Get("jobs.refused")
+		await(t, "at a node or refused", func() bool {
+			return atNodes.Load() == int64(len(held)+1) || set.Get("jobs.refused") > before
+		})
+		if atNodes.Load() == int64(len(held)+1) {
 			held = append(held, s)
 			continue
 		}
 		r, _ := s.answer(t)
+		check(t, "held, then refused", r.StatusCode, 503)
+	}
+	refused, early := 0, set.Get("jobs.refused")
+	for i := range p.front.budget + 20 - len(held) {
+		s := connect(t, p)
+		s.send(t, jobText("ratify", fmt.Sprint("j", i), "19000m", ""))
+		r, _ := s.answer(t)
 		check(t, "status", r.StatusCode, 503)
 		check(t, "Retry-After", r.Header.Get("Retry-After"), "1.000")
 		refused++
 	}
 	check(t, "refused", set.Get("jobs.too_many"), int64(refused))
+	check(t, "all of them", set.Get("jobs.refused")-early, int64(refused))
 	close(release)
 	for _, s := range held {
 		s.answer(t)
