Let many schedulers look at workers that just served one of theirs, whatever they sample

Change: with more than a few dispatchers a worker that has just served a job of ours joins d.fresh (state.go, heard), so pick weighs it with the rest of the sample. Small fleets are as before.

--- a/dispatcher.go
+++ b/dispatcher.go
@@ -1056,6 +1056,9 @@
 			d.served += a.slots * float64(run) / float64(second)
 		}
 		w.trial, w.backoff = false, 0
+		if d.many() {
+			d.heard(w) // a slot has just come free there, on a connection that stays open
+		}
 		if !d.cfg.StartNotes {
 			d.learnRoom(w, d.now-j.came > j.wanted)
 		}
--- a/fleet_test.go
+++ b/fleet_test.go
@@ -258,3 +258,28 @@
 		}
 	}
 }
+
+// Of many workers each of many dispatchers samples a few. One that has just served
+// a job of ours has a slot free and our connection open: it is looked at whatever
+// the sample holds.
+func TestManyLookWhereASlotCameFree(t *testing.T) {
+	for dispatchers, least := range map[int]int{80: 15, 3: 0} {
+		cfg := manyConfig()
+		cfg.Dispatchers, cfg.StartNotes = dispatchers, false
+		cfg.Prices.Handshake = 0.02
+		r := newRig(t, cfg, fleet(200)...)
+		last, again := "", 0
+		for id := uint64(1); id <= 20; id++ {
+			r.after(ms, r.request(id, 0))
+			a := r.want(ActionSend, 1)[0]
+			if a.Worker == last {
+				again++
+			}
+			last = a.Worker
+			r.after(ms, outcome(id, a.Attempt, a.Worker, Served))
+		}
+		if again < least || dispatchers <= 4 && again > 10 {
+			t.Errorf("%d dispatchers: %d of 20 jobs went where the last was served", dispatchers, again)
+		}
+	}
+}
--- a/state.go
+++ b/state.go
@@ -491,6 +491,11 @@
 func (d *Dispatcher) report(w *worker, e *Event) {
 	w.load, w.loaded, w.since, w.loadAt = e.Load, true, 0, d.now
 	d.usual.add(d.reported(w, 1))
+	d.heard(w)
+}
+
+// heard makes a worker the last that was heard of: pick looks at it whatever it samples.
+func (d *Dispatcher) heard(w *worker) {
 	d.fresh[d.freshAt] = w
 	d.freshAt = (d.freshAt + 1) % len(d.fresh)
 }
