Send a key's jobs to the same few workers where there are many schedulers

One scheduler meets a worker every 85 s, so what it remembers of keys (worker.keys, cost) is of no use, and homes on a ring were tried only where settings price fetches (pick, tryHomes). With the fetches the work asked for is over what the fleet's slots can do.

Change: rendezvous hashing of keys over the warm workers of the own zone (state.go nearest) in place of the ring; as many homes as the key's part of the last 256 jobs asks for (homesOf). Jobs that may move go home first and on along the same order; those that stay keep to proof of room and only count homes as having what they need.

--- a/dispatcher.go
+++ b/dispatcher.go
@@ -61,7 +61,8 @@
 	list     []*worker     // in the order first heard of
 	room     [][][]*worker // by kind+1, then by own count: workers that may get a job
 	levels   int           // most levels of any kind
-	ring     []*worker     // by hash of id, for keys
+	ring     []*worker     // the live ones
+	keys     keyLog        // of the last jobs
 	inflight float64       // slots of our jobs in flight
 	waits    int           // attempts sent that have not started, on workers that may be well
 	window   float64       // how many of them the fleet starts without delay
@@ -144,6 +145,7 @@
 	c.patience = max(c.patience, r.Deadline-j.came)
 	j.born = r.Deadline - c.patience
 	d.jobs[r.ID] = j
+	d.keys.add(r.Key)
 	d.arrived++
 	j.tenant.arrived++
 	j.tenant.classes[r.Class].came++
@@ -801,14 +803,28 @@
 func (d *Dispatcher) pick(j *job) *worker {
 	var best *worker
 	bestCost := math.Inf(1)
-	try := func(w *worker, extra float64) {
+	try := func(w *worker, extra float64, has bool) {
 		if !d.fits(j, w) {
 			return
 		}
+		if j.req.Key != 0 && !has && !w.holds(j.req.Key) {
+			extra += fetchJobs
+		}
 		if c := d.cost(j, w) + extra + d.rng.Float64()*1e-3; c < bestCost {
 			best, bestCost = w, c
 		}
 	}
+	if j.req.Key != 0 && (d.many() || d.cfg.Prices.Fetch > 0) {
+		ws := d.homesOf(j)
+		for i, w := range ws {
+			if w.level >= 0 && (!w.loaded || d.reported(w, j.req.Slots) < 1) {
+				try(w, float64(w.level)-4*d.cfg.Prices.Fetch*(1-float64(i)/float64(len(ws))), true)
+			}
+		}
+		if j.class.Effect != AtMostOnce && d.many() && bestCost < unproven {
+			return best // if it has no slot free, the job moves on
+		}
+	}
 	for l := 0; l < d.levels && float64(l) < bestCost; l++ {
 		n := 0
 		for k := range d.room {
@@ -817,7 +833,7 @@
 		if n <= sampled || j.mayRan != nil {
 			for k := range d.room {
 				for _, w := range d.at(j, k, l) {
-					try(w, float64(l))
+					try(w, float64(l), false)
 				}
 			}
 			continue
@@ -827,7 +843,7 @@
 			for k := range d.room {
 				ws := d.at(j, k, l)
 				if i < len(ws) {
-					try(ws[i], float64(l))
+					try(ws[i], float64(l), false)
 					break
 				}
 				i -= len(ws)
@@ -835,12 +851,9 @@
 		}
 		for _, w := range d.fresh {
 			if w != nil && w.level == l && (j.class.Kind < 0 || w.kind == j.class.Kind) {
-				try(w, float64(l))
+				try(w, float64(l), false)
 			}
 		}
-		if best != nil && j.req.Key != 0 && d.cfg.Prices.Fetch > 0 {
-			d.tryHomes(j, func(w *worker, extra float64) { try(w, float64(w.level)+extra) })
-		}
 	}
 	return best
 }
@@ -853,28 +866,24 @@
 	return d.room[k][l]
 }
 
-const homes = 16 // workers next to a key on the ring that are looked at
+const (
+	mostHomes = 16  // that a key has
+	homeRoom  = 1.5 // homes of a key over what its part of the jobs would fill
+)
 
-// tryHomes adds the workers next to the key on the ring of hashes: all
-// dispatchers thus send a key to the same few without speaking.
-func (d *Dispatcher) tryHomes(j *job, try func(*worker, float64)) {
-	if len(d.ring) == 0 {
-		return
+// homesOf returns the workers that are likely to have what the jobs with a key need: all
+// dispatchers send them to the same few without speaking. Many spread a key over as many
+// as its part of the jobs seen here asks for, and over one more after each attempt.
+func (d *Dispatcher) homesOf(j *job) []*worker {
+	if j.homesAt != d.lists {
+		j.homes, j.homesOf = d.nearest(j)
+		j.homesAt = d.lists
 	}
-	at, _ := slices.BinarySearchFunc(d.ring, j.req.Key*0x9e3779b97f4a7c15, func(w *worker, k uint64) int {
-		return cmp.Compare(w.hash, k)
-	})
-	found := 0
-	for i := 0; i < len(d.ring) && found < homes; i++ {
-		w := d.ring[(at+i)%len(d.ring)]
-		if j.class.Kind >= 0 && w.kind != j.class.Kind {
-			continue
-		}
-		found++
-		if w.level >= 0 && (!w.loaded || d.reported(w, j.req.Slots) < 1) {
-			try(w, -4*d.cfg.Prices.Fetch*float64(homes-found+1)/homes)
-		}
+	if !d.many() {
+		return j.homes
 	}
+	n := max(1+len(j.attempts), int(homeRoom*d.keys.part(j.req.Key)*float64(j.homesOf)))
+	return j.homes[:min(n, len(j.homes))]
 }
 
 // fits says whether a worker in the room lists suits this job.
@@ -924,9 +933,6 @@
 		// It stays where it is sent: best where one of ours has just started at once.
 		c += unproven * (1 - math.Exp(-float64(d.now-w.good)/float64(5*second)))
 	}
-	if j.req.Key != 0 && !w.holds(j.req.Key) {
-		c += fetchJobs
-	}
 	return c
 }
 
@@ -985,10 +991,7 @@
 		d.prompt.add(float64(delay))
 	}
 	late := delay > 2*d.tick
-	if a.overdue {
-		w.overdue--
-		a.overdue = false
-	}
+	a.heardOf()
 	d.learnRoom(w, late)
 	if !late {
 		w.fulls, w.good = 0, d.now
@@ -1036,9 +1039,7 @@
 	if e.HasLoad {
 		d.report(w, e)
 	}
-	if a.overdue {
-		w.overdue--
-	}
+	a.heardOf()
 	switch e.Code {
 	case Served:
 		run := e.Took
--- a/fleet_test.go
+++ b/fleet_test.go
@@ -1,6 +1,9 @@
 package foxlift
 
-import "testing"
+import (
+	"slices"
+	"testing"
+)
 
 // manyConfig is a fleet of 80 dispatchers.
 func manyConfig() Config {
@@ -283,3 +286,107 @@
 		}
 	}
 }
+
+// keyed is a request for a job with a key.
+func keyed(r *rig, id uint64, class int, key uint64) Event {
+	e := r.request(id, class)
+	e.Request.Key = key
+	return e
+}
+
+// makeRare lets jobs with other keys have come, so that one more is a rare one's.
+func makeRare(r *rig) {
+	for key := uint64(1000); key < 1100; key++ {
+		r.d.keys.add(key)
+	}
+}
+
+// Many dispatchers that never speak send a key's jobs to the same worker, and on to the
+// same next one, so that what the jobs need is fetched there once: not where it is for each.
+func TestManySendAKeyToTheSameFew(t *testing.T) {
+	var seen [2]map[string]bool
+	for i := range seen {
+		seen[i] = map[string]bool{}
+	}
+	for index := range 40 {
+		cfg := manyConfig()
+		cfg.Index = index
+		r := newRig(t, cfg, fleet(60)...)
+		for range index {
+			r.d.rng.Uint64() // each draws numbers of its own
+		}
+		makeRare(r)
+		r.step(keyed(r, 1, 0, 7))
+		seen[0][r.want(ActionSend, 1)[0].Worker] = true
+		r.after(r.d.tick) // no word of a start
+		seen[1][r.want(ActionSend, 1)[0].Worker] = true
+	}
+	if len(seen[0]) != 1 || len(seen[1]) != 1 {
+		t.Errorf("one key's jobs went to %d workers first and to %d then", len(seen[0]), len(seen[1]))
+	}
+}
+
+// A key with a large part of the jobs has as many homes as it fills, not one.
+func TestManySpreadABusyKey(t *testing.T) {
+	r := newRig(t, manyConfig(), fleet(60)...)
+	seen := map[string]bool{}
+	for id := uint64(1); id <= 200; id++ {
+		r.d.keys.add(7 + id%4*1000) // one in four
+		r.step(keyed(r, id, 0, 7))
+		w := r.only(ActionSend)[0].Worker
+		seen[w] = true
+		r.after(ms, started(id, 0, w))
+		r.after(ms, outcome(id, 0, w, Served))
+	}
+	if len(seen) < 10 || len(seen) > mostHomes {
+		t.Errorf("a key of a quarter of the jobs on 60 workers has %d homes", len(seen))
+	}
+}
+
+// A job that stays where it is sent goes where one has just started, though that is no home.
+func TestManySendWhatStaysWhereThereIsRoom(t *testing.T) {
+	r := newRig(t, manyConfig(), fleet(60)...)
+	makeRare(r)
+	r.now += 60 * second
+	r.step()
+	homes, _ := r.d.nearest(&job{class: &r.d.classes[1], req: Request{Key: 7}})
+	proven := r.d.list[slices.IndexFunc(r.d.list, func(w *worker) bool { return !slices.Contains(homes, w) })]
+	proven.good = r.now
+	r.d.heard(proven)
+	for class, want := range []string{homes[0].id, proven.id} {
+		r.step(keyed(r, uint64(1+class), class, 7))
+		if a := r.want(ActionSend, 1)[0]; a.Worker != want {
+			t.Errorf("class %d goes to %s, want %s", class, a.Worker, want)
+		}
+	}
+}
+
+// A worker that goes moves the keys whose home it was, and no others.
+func TestRendezvousMovesOnlyTheKeysOfTheLost(t *testing.T) {
+	d := newRig(t, manyConfig(), fleet(60)...).d
+	home := func(key uint64) *worker {
+		ws, of := d.nearest(&job{class: &d.classes[0], req: Request{Key: key}})
+		if of != len(d.ring) {
+			t.Fatalf("of %d workers", of)
+		}
+		return ws[0]
+	}
+	before := map[uint64]*worker{}
+	most := map[*worker]int{}
+	for key := uint64(1); key <= 6000; key++ {
+		before[key] = home(key)
+		most[before[key]]++
+	}
+	for w, n := range most {
+		if n < 50 || n > 150 { // five deviations of chance from 100
+			t.Errorf("%s is the home of %d keys in 6000", w.id, n)
+		}
+	}
+	lost := d.ring[7]
+	d.ring = append(d.ring[:7:7], d.ring[8:]...)
+	for key, w := range before {
+		if now := home(key); (now != w) != (w == lost) {
+			t.Errorf("key %d moved from %s to %s when %s went", key, w.id, now.id, lost.id)
+		}
+	}
+}
--- a/state.go
+++ b/state.go
@@ -4,7 +4,6 @@
 // Nothing is decided here.
 
 import (
-	"cmp"
 	"encoding/binary"
 	"math"
 	"math/rand/v2"
@@ -24,10 +23,13 @@
 	out           int      // attempts in flight
 	mayRan        *attempt // the first attempt that may have run
 	ended, queued bool
-	asked         int   // workers probed for it
-	again         bool  // in resend
-	stream        bool  // bound to a stream: no deadline any more
-	blocked       int64 // the round of dispatch that found no worker for it
+	asked         int       // workers probed for it
+	again         bool      // in resend
+	stream        bool      // bound to a stream: no deadline any more
+	blocked       int64     // the round of dispatch that found no worker for it
+	homes         []*worker // of its key, the nearest first,
+	homesOf       int       // of so many workers,
+	homesAt       int64     // by the list event of this number
 }
 
 type attempt struct {
@@ -171,7 +173,7 @@
 	}
 }
 
-// rebuildRing orders the live workers by hash.
+// rebuildRing collects the live workers.
 func (d *Dispatcher) rebuildRing() {
 	d.ring = d.ring[:0]
 	for _, w := range d.list {
@@ -179,9 +181,64 @@
 			d.ring = append(d.ring, w)
 		}
 	}
-	slices.SortFunc(d.ring, func(a, b *worker) int {
-		return cmp.Or(cmp.Compare(a.hash, b.hash), cmp.Compare(a.id, b.id))
-	})
+}
+
+// nearest returns the warm workers of the own zone and of the job's kind that come first
+// by rendezvous hashing of its key: each key has an order of workers of its own, and one
+// worker more or less moves no key but its own. Where crossings are free zones don't count.
+// It also returns how many workers they are the first of.
+func (d *Dispatcher) nearest(j *job) (homes []*worker, of int) {
+	var hashes [mostHomes]uint64
+	ws := make([]*worker, 0, mostHomes)
+	for _, w := range d.ring {
+		if d.young(w) || j.class.Kind >= 0 && w.kind != j.class.Kind ||
+			w.zone != d.cfg.Zone && d.cfg.Prices.CrossZone > 0 {
+			continue
+		}
+		of++
+		h := mix(w.hash ^ j.req.Key*0x9e3779b97f4a7c15)
+		i := len(ws)
+		if i < mostHomes {
+			ws = append(ws, w)
+		} else if i--; h <= hashes[i] {
+			continue
+		}
+		for ; i > 0 && hashes[i-1] < h; i-- {
+			hashes[i], ws[i] = hashes[i-1], ws[i-1]
+		}
+		hashes[i], ws[i] = h, w
+	}
+	return ws, of
+}
+
+// mix spreads the bits of x over all of it (the finalizer of MurmurHash3).
+func mix(x uint64) uint64 {
+	x = (x ^ x>>33) * 0xff51afd7ed558ccd
+	x = (x ^ x>>33) * 0xc4ceb9fe1a85ec53
+	return x ^ x>>33
+}
+
+// A keyLog holds the keys of the last jobs, the newest over the oldest.
+type keyLog struct {
+	last [256]uint64
+	n    int // that were ever added
+}
+
+func (l *keyLog) add(key uint64) {
+	l.last[l.n%len(l.last)] = key
+	l.n++
+}
+
+// part returns the part of the last jobs that had a key, and a few more that had not: of
+// the first jobs one says little.
+func (l *keyLog) part(key uint64) float64 {
+	n := 0
+	for _, k := range l.last {
+		if k == key {
+			n++
+		}
+	}
+	return float64(n) / float64(min(l.n, len(l.last))+16)
 }
 
 // A classLoop is a class with its regulator. v is u as a share of u_max, so that
@@ -411,6 +468,14 @@
 	}
 }
 
+// heardOf ends an attempt's being overdue.
+func (a *attempt) heardOf() {
+	if a.overdue {
+		a.overdue = false
+		a.worker.overdue--
+	}
+}
+
 // forget drops a job that has ended once all its attempts have.
 func (d *Dispatcher) forget(j *job) {
 	if j.ended && j.out == 0 {
