Rig of many processes with links and faults; coldstart trial in the lab

Need: how hundreds of schedulers behave together when parts fail could not be tried: the lab ran daemons in one process, which cannot be stopped, killed or ended by a signal, and its discovery cost nothing.

Change: internal/lab/fleet starts real processes of the built program with a link between each and discovery (and each node, where asked for) that can be cut, silenced one way, slowed or reset; discovery's stand-in serves one call after another at a price and tells changes since a version; nodes start cold and fall over. foxlift-lab coldstart starts all at once on an old list and judges by its exit code.

--- a/cmd/foxlift-lab/main.go
+++ b/cmd/foxlift-lab/main.go
@@ -12,6 +12,7 @@
 	"github.com/spf13/cobra"
 
 	"github.com/vatu-meals/foxlift/internal/lab"
+	"github.com/vatu-meals/foxlift/internal/lab/fleet"
 )
 
 func main() {
@@ -26,7 +27,7 @@
 		Use: "foxlift-lab", Short: "Demonstrations and measurements of foxlift on loopback",
 		SilenceErrors: true, SilenceUsage: true,
 	}
-	cmd.AddCommand(demo(), cells(), loops(), speed(), standIns(), fuzzRunner(), mutants())
+	cmd.AddCommand(demo(), cells(), loops(), speed(), standIns(), fuzzRunner(), mutants(), coldStart())
 	return cmd
 }
 
@@ -158,3 +159,34 @@
 		},
 	}
 }
+
+func coldStart() *cobra.Command {
+	o := fleet.DefaultColdStart
+	cmd := &cobra.Command{
+		Use: "coldstart", Short: "Start many scheduler processes at once on an old list, and watch lists, nodes and service", Args: cobra.NoArgs,
+		Long: `coldstart starts real scheduler processes, all at once, with the machine list from before
+a release, under load, against a discovery that serves one call after another and nodes that
+start cold. It exits with code 1 if a node is pushed over, a job is lost, one that must not run
+twice does, or a scheduler does not end well.`,
+		Example: "  go run ./cmd/foxlift-lab coldstart --schedulers 30 --nodes 20 --build bin/foxlift",
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			r, err := o.Run(cmd.OutOrStdout())
+			if err != nil {
+				return err
+			}
+			fmt.Fprintln(cmd.OutOrStdout(), r.Line())
+			if !r.OK() {
+				return errors.New("something happened that must not")
+			}
+			return nil
+		},
+	}
+	cmd.Flags().StringVar(&o.Program, "build", o.Program, "the scheduler's binary")
+	cmd.Flags().IntVar(&o.Schedulers, "schedulers", o.Schedulers, "processes")
+	cmd.Flags().IntVar(&o.Nodes, "nodes", o.Nodes, "execute nodes")
+	cmd.Flags().Uint64Var(&o.Seed, "seed", o.Seed, "of the arrivals, and of which nodes are replaced")
+	cmd.Flags().DurationVar(&o.For, "for", o.For, "how long it is watched")
+	cmd.Flags().Float64Var(&o.Load, "load", o.Load, "jobs, against what the warm fleet can do")
+	cmd.Flags().Float64Var(&o.Replaced, "replaced", o.Replaced, "part of the nodes that the known list does not have")
+	return cmd
+}
--- /dev/null
+++ b/internal/lab/fleet/coldstart.go
@@ -0,0 +1,139 @@
+package fleet
+
+import (
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/vatu-meals/foxlift/internal/lab"
+	"github.com/vatu-meals/foxlift/internal/standin"
+)
+
+// A ColdStart is a trial: all schedulers of a fleet start at once with a list from before a
+// release that replaced a part of the nodes, under load, while discovery serves one call
+// after another.
+type ColdStart struct {
+	Program    string
+	Schedulers int
+	Nodes      int
+	Seed       uint64
+	For        time.Duration // how long it is watched
+	Load       float64       // jobs asked for, against what the warm fleet can do
+	Replaced   float64       // part of the nodes that the known list does not have: they started at the trial's start
+}
+
+// DefaultColdStart is the trial that the operators' page speaks of.
+var DefaultColdStart = ColdStart{
+	Program: "bin/foxlift", Schedulers: 300, Nodes: 200, Seed: 1, For: 30 * time.Second, Load: 0.4, Replaced: 0.5,
+}
+
+// A ColdStartResult is what a trial saw.
+type ColdStartResult struct {
+	Schedulers  int
+	Half, All   time.Duration // until half, and all, of the schedulers had the list; 0: never
+	Listed      int           // schedulers that had it in the end
+	Most        int           // calls to discovery in one second
+	Capacity    float64       // whole lists that it can give in one
+	Refused     float64       // percent of its calls
+	Fallen      int           // nodes pushed over
+	Gone        float64       // percent of the sends that went to nodes that were gone
+	Tally       standin.Tally
+	Twice       int     // at-most-once jobs that ran twice
+	Ended       bool    // all schedulers ended well after SIGTERM
+	Drained     bool    // no call waited for discovery in the end
+	ServiceWarm float64 // percent served in the last third
+}
+
+// Line is the result in one line.
+func (r ColdStartResult) Line() string {
+	return fmt.Sprintf("coldstart: schedulers %d, lists at half in %.2f s, at all in %.2f s (%d), calls a second at most %d of capacity %.0f, refused %.1f %%, nodes pushed over %d, sends to gone nodes %.1f %%, jobs lost %d, twice %d, service %.1f %% (last third %.1f %%)",
+		r.Schedulers, r.Half.Seconds(), r.All.Seconds(), r.Listed, r.Most, r.Capacity, r.Refused, r.Fallen, r.Gone, r.Tally.Lost, r.Twice,
+		r.Tally.Service(), r.ServiceWarm)
+}
+
+// OK reports whether what must never happen did not.
+func (r ColdStartResult) OK() bool {
+	return r.Fallen == 0 && r.Tally.Lost == 0 && r.Twice == 0 && r.Ended && r.Tally.Asked > 0
+}
+
+// world is the trial's deployment: three kinds of node, two classes, in the proportions of
+// the platform's own.
+func (o ColdStart) world() lab.World {
+	large, medium := max(1, o.Nodes*28/100), max(1, o.Nodes*36/100)
+	return lab.World{
+		Schedulers: o.Schedulers, Sockets: 512, Zones: []string{"east", "west"},
+		Kinds: []lab.Kind{{Name: "large", Count: large, Slots: 4, Speed: 1.6}, {Name: "medium", Count: medium, Slots: 3, Speed: 1},
+			{Name: "old", Count: max(1, o.Nodes-large-medium), Slots: 5, Speed: 0.6}},
+		Tenants: []lab.Tenant{{Name: "north", Share: 0.6}, {Name: "south", Share: 0.4}},
+		Classes: []lab.Class{
+			{Name: "reading", Effect: "idempotent", Work: 335 * time.Millisecond, Part: 0.72, Aim: 500 * time.Millisecond, Wait: 5 * time.Second},
+			{Name: "ratify", Effect: "at_most_once", Work: 2050 * time.Millisecond, Part: 0.28, Aim: 2 * time.Second, Wait: 25 * time.Second},
+		},
+	}
+}
+
+// Run plays the trial.
+func (o ColdStart) Run(w io.Writer) (r ColdStartResult, err error) {
+	price := standin.Price{Call: 2 * time.Millisecond, Line: 100 * time.Microsecond, Patience: 2 * time.Second}
+	f, err := New(Options{
+		World: o.world(), Program: o.Program, Price: price,
+		Cold: &standin.Cold{From: 0.14, Warm: 24 * time.Second, Multiple: 3, Window: time.Second},
+	})
+	if err != nil {
+		return r, err
+	}
+	defer f.Close()
+	rng := rand.New(rand.NewPCG(o.Seed, 11))
+	old := f.Nodes()
+	rng.Shuffle(len(old), func(i, j int) { old[i], old[j] = old[j], old[i] })
+	for _, n := range old[:int(o.Replaced*float64(len(old)))] {
+		if _, err := f.Replace(n); err != nil {
+			return r, err
+		}
+	}
+	r.Schedulers, r.Ended = o.Schedulers, true
+	r.Capacity = 1 / (price.Call + time.Duration(o.Nodes)*price.Line).Seconds()
+	began := time.Now()
+	load := f.StartLoad("cold", o.Load*f.Capacity(), o.Seed)
+	if err := f.StartAll(30 * time.Second); err != nil {
+		close(load.stop)
+		return r, err
+	}
+	fmt.Fprintf(w, "%d schedulers are ready after %.1f s\n", o.Schedulers, time.Since(began).Seconds())
+	var last standin.Tally
+	for at := range 3 {
+		<-time.After(time.Until(began.Add(o.For * time.Duration(at+1) / 3)))
+		last = load.Take()
+		r.Tally = standin.Total(r.Tally, last)
+		calls := f.Discovery.Calls()
+		fmt.Fprintf(w, "%5.1f s: %d jobs, service %.1f %%, refused %d, late %d, failed %d; discovery: %d calls, %d refused, %d waiting\n",
+			time.Since(began).Seconds(), last.Asked, last.Service(), last.Refused, last.Late, last.Failed, calls.Asked, calls.Refused, calls.Waiting)
+	}
+	r.ServiceWarm = last.Service()
+	r.Tally = standin.Total(r.Tally, load.Stop())
+	var first []time.Duration
+	for _, p := range f.Processes {
+		if at := f.Discovery.First(p.Name); !at.IsZero() {
+			first = append(first, at.Sub(began))
+		}
+	}
+	slices.Sort(first)
+	r.Listed = len(first)
+	if half := (o.Schedulers+1)/2 - 1; half < len(first) {
+		r.Half = first[half]
+	}
+	if len(first) == o.Schedulers {
+		r.All = first[len(first)-1]
+	}
+	calls := f.Discovery.Calls()
+	r.Most, r.Refused, r.Drained = calls.Most, 100*float64(calls.Refused)/float64(max(1, calls.Asked)), calls.Waiting == 0
+	if err := f.EndAll(); err != nil {
+		r.Ended = false
+		fmt.Fprintln(w, err)
+	}
+	r.Gone = 100 * float64(f.Counter("claims.unreachable")) / float64(max(1, f.Counter("claims.sent")))
+	r.Fallen, r.Twice = f.Fallen(), len(f.Twice())
+	return r, nil
+}
--- /dev/null
+++ b/internal/lab/fleet/fleet.go
@@ -0,0 +1,295 @@
+// Package fleet runs many processes of the program on one machine, with a link between
+// each of them and what it meets, so that parts of it can be made to fail. Everything is on
+// loopback, and everything ends with Close.
+package fleet
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net"
+	"os"
+	"path/filepath"
+	"sync"
+	"time"
+
+	"github.com/vatu-meals/foxlift/internal/lab"
+	"github.com/vatu-meals/foxlift/internal/standin"
+)
+
+// Options say what a fleet is made of.
+type Options struct {
+	lab.World
+	Program   string        // the scheduler's binary
+	Price     standin.Price // of calls to discovery
+	Cold      *standin.Cold // of nodes that start; nil: they are warm at once
+	NodeLinks bool          // a link between each scheduler and each node: only for small fleets
+}
+
+// A Fleet is the running processes and what they meet.
+type Fleet struct {
+	Options
+	Processes []*Process
+	Discovery *standin.Discovery
+	Links     []*Link // of each process to discovery
+
+	mu        sync.Mutex
+	nodes     []*standin.Node // all that ever were
+	up        map[string]*standin.Node
+	nodeLinks []map[string]*Link // of each process, by the node's name
+	dir       string
+	ends      []func()
+	began     int // nodes
+}
+
+// New makes a fleet. Its processes have not been started yet: StartAll does.
+func New(o Options) (f *Fleet, err error) {
+	f = &Fleet{Options: o, up: map[string]*standin.Node{}}
+	defer func() {
+		if err != nil {
+			f.Close()
+		}
+	}()
+	if f.dir, err = os.MkdirTemp("", "foxlift-fleet-"); err != nil {
+		return nil, err
+	}
+	if f.Discovery, err = standin.StartDiscovery(); err != nil {
+		return nil, err
+	}
+	f.Discovery.Price = o.Price
+	for _, k := range o.Kinds {
+		for range k.Count {
+			if _, err := f.AddNode(k, time.Time{}); err != nil {
+				return nil, err
+			}
+		}
+	}
+	for i := range o.Schedulers {
+		if err := f.add(i); err != nil {
+			return nil, err
+		}
+	}
+	return f, nil
+}
+
+// AddNode starts a node and has discovery tell of it; started is its start, zero: long ago.
+func (f *Fleet) AddNode(k lab.Kind, started time.Time) (*standin.Node, error) {
+	work := map[string]time.Duration{}
+	for _, c := range f.Classes {
+		work[c.Name] = time.Duration(float64(c.Work) / k.Speed)
+	}
+	f.mu.Lock()
+	name, zone := fmt.Sprintf("%s-%d", k.Name, f.began), f.Zones[f.began%len(f.Zones)]
+	f.began++
+	f.mu.Unlock()
+	n, err := standin.StartNode(name, zone, k.Name, k.Slots, 2*k.Slots, func(class string) time.Duration { return work[class] })
+	if err != nil {
+		return nil, err
+	}
+	n.Started, n.Cold = started, f.Cold
+	f.mu.Lock()
+	f.nodes = append(f.nodes, n)
+	f.up[name] = n
+	f.mu.Unlock()
+	f.Discovery.Put(n, "active")
+	return n, nil
+}
+
+// Replace takes a node away without a word and starts another, cold, in its place.
+func (f *Fleet) Replace(n *standin.Node) (*standin.Node, error) {
+	for _, k := range f.Kinds {
+		if k.Name == n.Kind {
+			n.Crash()
+			f.mu.Lock()
+			delete(f.up, n.Name)
+			f.mu.Unlock()
+			f.Discovery.Put(n, "left")
+			return f.AddNode(k, time.Now())
+		}
+	}
+	return nil, fmt.Errorf("%s: no kind %s", n.Name, n.Kind)
+}
+
+// Nodes returns the nodes that are up, in the order of their starts.
+func (f *Fleet) Nodes() []*standin.Node {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var up []*standin.Node
+	for _, n := range f.nodes {
+		if f.up[n.Name] == n {
+			up = append(up, n)
+		}
+	}
+	return up
+}
+
+// add prepares process i: its view of discovery, its links and its configuration.
+func (f *Fleet) add(i int) error {
+	view := fmt.Sprint("n", i)
+	f.nodeLinks = append(f.nodeLinks, map[string]*Link{})
+	dial := func(host, addr string) string { return f.via(i, host, addr) }
+	l, err := standin.Listen()
+	if err != nil {
+		return err
+	}
+	server := f.Discovery.View(l, view, dial)
+	f.ends = append(f.ends, func() { server.Close(); server.Reset() })
+	link, err := newLink(l.Addr().String())
+	if err != nil {
+		return err
+	}
+	f.Links = append(f.Links, link)
+	addr, err := freeAddr(i)
+	if err != nil {
+		return err
+	}
+	p := &Process{Name: view, Addr: addr, program: f.Program, counters: map[string]int64{}}
+	path := filepath.Join(f.dir, view+".json")
+	p.env = []string{"LB_CONFIG=" + path, "LB_LISTEN=" + addr}
+	f.Processes = append(f.Processes, p)
+	return f.Configure(i, f.Discovery.KnownAt(dial))
+}
+
+// Configure writes the configuration of process i with this list as last known.
+func (f *Fleet) Configure(i int, known []byte) error {
+	text, err := json.Marshal(map[string]any{
+		"name": f.Processes[i].Name, "listen": f.Processes[i].Addr, "discovery": f.Links[i].Addr().String(),
+		"seed": fmt.Sprintf("%x", 1000+i), "limits": map[string]any{"memory_mb": 192, "sockets": f.Sockets},
+		"known": json.RawMessage(known), "settings": f.Settings(i),
+	})
+	if err != nil {
+		return err
+	}
+	return os.WriteFile(filepath.Join(f.dir, f.Processes[i].Name+".json"), text, 0o600)
+}
+
+// freeAddr finds an address on loopback that nothing uses: each process has an IP address
+// of its own, so that no outgoing connection takes its port while it is down.
+func freeAddr(i int) (string, error) {
+	l, err := net.Listen("tcp", fmt.Sprintf("127.7%d.%d.%d:0", os.Getpid()%10, i/250, i%250+1))
+	if err != nil {
+		return "", err
+	}
+	defer l.Close()
+	return l.Addr().String(), nil
+}
+
+// via returns the address by which process i reaches a node.
+func (f *Fleet) via(i int, host, addr string) string {
+	if !f.NodeLinks {
+		return addr
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	links := f.nodeLinks[i]
+	if links[host] == nil {
+		l, err := newLink(addr)
+		if err != nil {
+			return addr
+		}
+		links[host] = l
+	}
+	return links[host].Addr().String()
+}
+
+// NodeLink returns the link of process i to a node; nil if there is none.
+func (f *Fleet) NodeLink(i int, n *standin.Node) *Link {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.nodeLinks[i][n.Name]
+}
+
+// StartAll starts the processes at once and waits until each is ready.
+func (f *Fleet) StartAll(limit time.Duration) error {
+	return f.each(func(p *Process) error {
+		if err := p.Start(); err != nil {
+			return err
+		}
+		return p.AwaitReady(limit)
+	})
+}
+
+// KillAll kills the processes at once.
+func (f *Fleet) KillAll() {
+	f.each(func(p *Process) error { p.Kill(); return nil })
+}
+
+// EndAll ends the processes with SIGTERM and returns what they ended with.
+func (f *Fleet) EndAll() error {
+	return f.each((*Process).end)
+}
+
+func (f *Fleet) each(do func(p *Process) error) error {
+	errs := make([]error, len(f.Processes))
+	var wait sync.WaitGroup
+	for i, p := range f.Processes {
+		wait.Go(func() { errs[i] = do(p) })
+	}
+	wait.Wait()
+	return errors.Join(errs...)
+}
+
+// Counter sums a counter over all processes, of all that they have printed.
+func (f *Fleet) Counter(name string) (sum int64) {
+	for _, p := range f.Processes {
+		sum += p.Counter(name)
+	}
+	return sum
+}
+
+// Fallen returns how many nodes were pushed over.
+func (f *Fleet) Fallen() (n int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, node := range f.nodes {
+		if node.Fallen() {
+			n++
+		}
+	}
+	return n
+}
+
+// Twice returns the at-most-once jobs that were begun more than once on any nodes.
+func (f *Fleet) Twice() (ids []string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	runs := map[string]int{}
+	for _, n := range f.nodes {
+		for id, k := range n.Runs() {
+			runs[id] += k
+		}
+	}
+	for id, k := range runs {
+		if k > 1 && f.AtMostOnce(id) {
+			ids = append(ids, id)
+		}
+	}
+	return ids
+}
+
+// Close ends everything: each process by its own id.
+func (f *Fleet) Close() {
+	f.KillAll()
+	for _, p := range f.Processes {
+		p.wait.Wait()
+	}
+	for _, l := range f.Links {
+		l.close()
+	}
+	for _, links := range f.nodeLinks {
+		for _, l := range links {
+			l.close()
+		}
+	}
+	for _, end := range f.ends {
+		end()
+	}
+	if f.Discovery != nil {
+		f.Discovery.Close()
+		f.Discovery.Reset()
+	}
+	for _, n := range f.nodes {
+		n.Crash()
+	}
+	os.RemoveAll(f.dir)
+}
--- /dev/null
+++ b/internal/lab/fleet/fleet_test.go
@@ -0,0 +1,339 @@
+package fleet
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/vatu-meals/foxlift/internal/lab"
+	"github.com/vatu-meals/foxlift/internal/standin"
+)
+
+var program string // the built binary
+
+func TestMain(m *testing.M) {
+	dir, err := os.MkdirTemp("", "foxlift-build-")
+	if err != nil {
+		panic(err)
+	}
+	program = filepath.Join(dir, "foxlift")
+	code := 1
+	if out, err := exec.Command("go", "build", "-o", program, "../../../cmd/foxlift").CombinedOutput(); err != nil {
+		fmt.Fprintf(os.Stderr, "go build: %v\n%s", err, out)
+	} else {
+		code = m.Run()
+	}
+	os.RemoveAll(dir)
+	os.Exit(code)
+}
+
+// small is a fleet of so many processes on eight nodes, with short jobs.
+func small(t *testing.T, schedulers int, change func(*Options)) *Fleet {
+	t.Helper()
+	o := Options{
+		World: lab.World{
+			Schedulers: schedulers, Sockets: 256, Zones: []string{"east"}, Kinds: []lab.Kind{{Name: "k", Count: 8, Slots: 4, Speed: 1}},
+			Tenants: []lab.Tenant{{Name: "all", Share: 1}},
+			Classes: []lab.Class{
+				{Name: "reading", Effect: "idempotent", Work: 20 * time.Millisecond, Part: 0.7, Aim: 500 * time.Millisecond, Wait: 3 * time.Second},
+				{Name: "ratify", Effect: "at_most_once", Work: 60 * time.Millisecond, Part: 0.3, Aim: time.Second, Wait: 5 * time.Second},
+			},
+		},
+		Program: program, Price: standin.Price{Call: time.Millisecond, Line: 100 * time.Microsecond, Patience: time.Second},
+	}
+	if change != nil {
+		change(&o)
+	}
+	f, err := New(o)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(f.Close)
+	return f
+}
+
+// await waits until a condition holds.
+func await(t *testing.T, what string, holds func() bool) {
+	t.Helper()
+	for end := time.Now().Add(30 * time.Second); !holds(); <-time.After(5 * time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("not in time: %s", what)
+		}
+	}
+}
+
+func must(t *testing.T, err error) {
+	t.Helper()
+	if err != nil {
+		t.Fatal(err)
+	}
+}
+
+// awaitLists waits until each process has had an answer from discovery since the last call.
+// Discovery has news for them: a watch with none is answered late.
+func awaitLists(t *testing.T, f *Fleet, which ...*Process) {
+	t.Helper()
+	f.Discovery.Put(f.Nodes()[0], "active")
+	for _, p := range which {
+		await(t, p.Name+" has the list", func() bool { return !f.Discovery.First(p.Name).IsZero() })
+	}
+}
+
+// serves submits jobs at every process until each has served some, and judges: each job
+// has one whole answer, none that must not run twice did, no node fell, discovery's queue
+// is empty in the end.
+func serves(t *testing.T, f *Fleet, name string) {
+	t.Helper()
+	l := f.StartLoad(name, 20*float64(len(f.Processes)), 1)
+	sum := standin.Tally{}
+	await(t, "jobs are served", func() bool {
+		sum = standin.Total(sum, l.Take())
+		return sum.Served+sum.Late >= 5*len(f.Processes)
+	})
+	sum = standin.Total(sum, l.Stop())
+	if sum.Lost > 0 {
+		t.Errorf("%d of %d jobs without a whole answer", sum.Lost, sum.Asked)
+	}
+	judge(t, f)
+}
+
+func judge(t *testing.T, f *Fleet) {
+	t.Helper()
+	if ids := f.Twice(); len(ids) > 0 {
+		t.Errorf("ran twice: %v", ids)
+	}
+	if n := f.Fallen(); n > 0 {
+		t.Errorf("%d nodes pushed over", n)
+	}
+	await(t, "discovery's queue drains", func() bool { return f.Discovery.Calls().Waiting == 0 })
+}
+
+// All are killed at once, come back, and are killed again while they ask.
+func TestAllKilledAtOnceAndAgainWhileTheyAsk(t *testing.T) {
+	f := small(t, 12, nil)
+	must(t, f.StartAll(20*time.Second))
+	awaitLists(t, f, f.Processes...)
+	f.KillAll()
+	for _, p := range f.Processes {
+		must(t, p.Start())
+	}
+	asked := f.Discovery.Calls().Asked
+	await(t, "some ask", func() bool { return f.Discovery.Calls().Asked > asked })
+	f.KillAll()
+	must(t, f.StartAll(20*time.Second))
+	serves(t, f, "after")
+	awaitLists(t, f, f.Processes...)
+	must(t, f.EndAll())
+}
+
+// Discovery is down while they start: they serve from what they know; when it is back all
+// of them have the list, and with it nodes that they did not know.
+func TestDiscoveryDownDuringTheStart(t *testing.T) {
+	for name, down := range map[string]func(*Link){
+		"refusing": (*Link).Cut,
+		"silent":   func(l *Link) { l.Silence(There, Back) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := small(t, 6, nil)
+			for _, l := range f.Links {
+				down(l)
+			}
+			must(t, f.StartAll(20*time.Second))
+			serves(t, f, "down")
+			if n := f.Discovery.Calls().Answered; n > 0 {
+				t.Errorf("%d calls were answered by a discovery that is down", n)
+			}
+			fresh, err := f.AddNode(f.Kinds[0], time.Time{})
+			must(t, err)
+			for _, l := range f.Links {
+				l.Heal()
+				l.Reset()
+			}
+			awaitLists(t, f, f.Processes...)
+			l := f.StartLoad("back", 400, 2)
+			await(t, "the new node runs jobs", func() bool { return len(fresh.Runs()) > 0 })
+			if sum := l.Stop(); sum.Lost > 0 {
+				t.Errorf("%d jobs lost", sum.Lost)
+			}
+			judge(t, f)
+		})
+	}
+}
+
+// Half of them reach discovery; the others go on with what they know.
+func TestDiscoveryReachableFromHalf(t *testing.T) {
+	f := small(t, 8, nil)
+	for _, l := range f.Links[4:] {
+		l.Silence(Back)
+	}
+	must(t, f.StartAll(20*time.Second))
+	awaitLists(t, f, f.Processes[:4]...)
+	serves(t, f, "half")
+	for _, p := range f.Processes[4:] {
+		if !f.Discovery.First(p.Name).IsZero() && p.Counter("machines.told") > 0 {
+			t.Errorf("%s was told through a link that passes nothing back", p.Name)
+		}
+	}
+}
+
+// All that they know is gone: jobs are answered at once, and served once the list is there.
+func TestKnownInWhichEveryNodeIsGone(t *testing.T) {
+	f := small(t, 6, nil)
+	for _, n := range f.Nodes() {
+		_, err := f.Replace(n)
+		must(t, err)
+	}
+	must(t, f.StartAll(20*time.Second))
+	serves(t, f, "gone")
+	awaitLists(t, f, f.Processes...)
+}
+
+// Nothing is known: they say that they are not ready, a front that sends jobs all the same
+// has an answer for each, and they serve once they have the list.
+func TestNothingKnown(t *testing.T) {
+	f := small(t, 6, nil)
+	for i, p := range f.Processes {
+		must(t, f.Configure(i, []byte("null")))
+		f.Links[i].Cut()
+		must(t, p.Start())
+		early := &standin.Submitter{Addr: p.Addr, Tenant: "all", Class: "ratify", Remaining: time.Second, Name: "early/ratify/" + p.Name}
+		await(t, p.Name+" answers", func() bool { return early.Send() == http.StatusServiceUnavailable })
+		if err := p.AwaitReady(0); err == nil {
+			t.Errorf("%s is ready and knows no node", p.Name)
+		}
+	}
+	for _, l := range f.Links {
+		l.Heal()
+	}
+	serves(t, f, "listed")
+}
+
+// A process stands still between its call and the answer: it goes on with what came.
+func TestStoppedBetweenAskAndAnswer(t *testing.T) {
+	f := small(t, 5, nil)
+	for _, l := range f.Links {
+		l.Silence(There)
+	}
+	must(t, f.StartAll(20*time.Second))
+	p := f.Processes[0]
+	must(t, p.Signal(syscall.SIGSTOP))
+	for _, l := range f.Links {
+		l.Heal()
+	}
+	awaitLists(t, f, f.Processes[1:]...)
+	must(t, p.Signal(syscall.SIGCONT))
+	awaitLists(t, f, p)
+	serves(t, f, "stopped")
+}
+
+// A watch's answer is cut in the middle, for all at once: they ask again.
+func TestWatchCutInTheMiddle(t *testing.T) {
+	f := small(t, 8, nil)
+	must(t, f.StartAll(20*time.Second))
+	awaitLists(t, f, f.Processes...)
+	for _, l := range f.Links {
+		l.Slow(0, 200) // an answer takes some seconds
+	}
+	asked := f.Discovery.Calls().Asked
+	fresh, err := f.AddNode(f.Kinds[0], time.Time{})
+	must(t, err)
+	for _, l := range f.Links {
+		l.Reset()
+		l.Heal()
+	}
+	await(t, "all ask again", func() bool { return f.Discovery.Calls().Asked >= asked+len(f.Processes) })
+	l := f.StartLoad("cut", 400, 2)
+	await(t, "the new node runs jobs", func() bool { return len(fresh.Runs()) > 0 })
+	if sum := l.Stop(); sum.Lost > 0 {
+		t.Errorf("%d jobs lost", sum.Lost)
+	}
+	judge(t, f)
+}
+
+// SIGTERM while they start and hear nothing of discovery: each ends well, and every job
+// taken until then has its answer.
+func TestEndDuringTheStart(t *testing.T) {
+	f := small(t, 5, nil)
+	for _, l := range f.Links {
+		l.Silence(There, Back)
+	}
+	l := f.StartLoad("end", 100, 1)
+	must(t, f.StartAll(20*time.Second))
+	sum := standin.Tally{}
+	await(t, "jobs are served", func() bool {
+		sum = standin.Total(sum, l.Take())
+		return sum.Served > 0
+	})
+	close(l.stop)
+	must(t, f.EndAll())
+	l.wait.Wait()
+	if sum = standin.Total(sum, l.Take()); sum.Lost > 0 {
+		t.Errorf("%d of %d jobs lost", sum.Lost, sum.Asked)
+	}
+	if f.Counter("jobs.taken") == 0 {
+		t.Error("no counters are printed at the end")
+	}
+	judge(t, f)
+}
+
+// A node that is cut off from one process in silence, both ways, costs it no job that may
+// run elsewhere, and the others nothing.
+func TestNodeSilentForOne(t *testing.T) {
+	f := small(t, 4, func(o *Options) { o.NodeLinks = true })
+	must(t, f.StartAll(20*time.Second))
+	awaitLists(t, f, f.Processes...)
+	f.NodeLink(0, f.Nodes()[0]).Silence(There, Back)
+	l := f.StartLoad("silent", 120, 3)
+	sum := standin.Tally{}
+	await(t, "jobs are served", func() bool {
+		sum = standin.Total(sum, l.Take())
+		return sum.Served >= 100
+	})
+	if sum = standin.Total(sum, l.Stop()); sum.Lost > 0 {
+		t.Errorf("%d jobs lost", sum.Lost)
+	}
+	judge(t, f)
+}
+
+// The oracle sees: a cold node that is sent too much falls, one that is not does not.
+func TestColdNodeFalls(t *testing.T) {
+	for jobs, falls := range map[int]bool{3: false, 60: true} {
+		f := small(t, 1, func(o *Options) {
+			o.Cold = &standin.Cold{From: 0.2, Warm: time.Hour, Multiple: 3, Window: time.Second}
+		})
+		n, err := f.AddNode(f.Kinds[0], time.Now())
+		must(t, err)
+		for i := range jobs { // 0.06 s of work each: 2.4 s in a second are too much
+			c, err := net.Dial("tcp", n.Addr())
+			must(t, err)
+			defer c.Close()
+			fmt.Fprintf(c, "POST /ratify HTTP/1.1\r\nHost: n\r\nX-Txn: a/ratify/%d\r\nContent-Length: 0\r\n\r\n", i)
+		}
+		await(t, "the jobs have arrived", func() bool { return falls == n.Fallen() && (falls || len(n.Runs()) == jobs) })
+	}
+}
+
+// The trial itself, small: it passes, and its result fails where a node fell.
+func TestColdStartTrial(t *testing.T) {
+	r, err := ColdStart{Program: program, Schedulers: 5, Nodes: 10, Seed: 1, For: 3 * time.Second, Load: 0.2, Replaced: 0.5}.Run(io.Discard)
+	must(t, err)
+	if !r.OK() || r.Listed != 5 || !r.Drained {
+		t.Errorf("%s (drained %v)", r.Line(), r.Drained)
+	}
+	for _, bad := range []func(*ColdStartResult){
+		func(r *ColdStartResult) { r.Fallen = 1 }, func(r *ColdStartResult) { r.Tally.Lost = 1 },
+		func(r *ColdStartResult) { r.Twice = 1 }, func(r *ColdStartResult) { r.Ended = false },
+	} {
+		b := r
+		if bad(&b); b.OK() {
+			t.Errorf("passes: %s", b.Line())
+		}
+	}
+}
--- /dev/null
+++ b/internal/lab/fleet/load.go
@@ -0,0 +1,61 @@
+package fleet
+
+import (
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/vatu-meals/foxlift/internal/standin"
+)
+
+// A Load is submitters at every process.
+type Load struct {
+	senders []*standin.Submitter
+	stop    chan struct{}
+	wait    sync.WaitGroup
+}
+
+// StartLoad begins jobs at a rate a second over the whole fleet, spread evenly, at each
+// process once it takes connections. Its ids begin with name.
+func (f *Fleet) StartLoad(name string, rate float64, seed uint64) *Load {
+	l := &Load{stop: make(chan struct{})}
+	for i, p := range f.Processes {
+		var senders []*standin.Submitter
+		var rates []float64
+		for _, c := range f.Classes {
+			for _, t := range f.Tenants {
+				senders = append(senders, &standin.Submitter{
+					Addr: p.Addr, Tenant: t.Name, Class: c.Name, Remaining: c.Wait, Aim: c.Aim + 2*c.Work,
+					Name: fmt.Sprintf("%s/%s/%s/%d", name, t.Name, c.Name, i),
+				})
+				rates = append(rates, rate*c.Part*t.Share/float64(len(f.Processes)))
+			}
+		}
+		l.senders = append(l.senders, senders...)
+		l.wait.Go(func() {
+			if p.AwaitReady(30*time.Second) != nil {
+				return
+			}
+			for k, s := range senders {
+				l.wait.Go(func() { s.Run(func() float64 { return rates[k] }, seed+uint64(i*1000+k), l.stop) })
+			}
+		})
+	}
+	return l
+}
+
+// Stop ends the load, waits for every answer and returns what became of the jobs.
+func (l *Load) Stop() standin.Tally {
+	close(l.stop)
+	l.wait.Wait()
+	return l.Take()
+}
+
+// Take returns what became of the jobs that were answered since the last call.
+func (l *Load) Take() standin.Tally {
+	var all []standin.Tally
+	for _, s := range l.senders {
+		all = append(all, s.Take())
+	}
+	return standin.Total(all...)
+}
--- a/internal/lab/load.go
+++ b/internal/lab/load.go
@@ -77,7 +77,7 @@
 	v := Verdict{Total: l.total}
 	runs := l.rig.Runs()
 	for id, k := range runs {
-		if k > 1 && l.rig.atMostOnce(id) {
+		if k > 1 && l.rig.AtMostOnce(id) {
 			v.Twice++
 		}
 	}
--- a/internal/lab/rig.go
+++ b/internal/lab/rig.go
@@ -126,7 +126,7 @@
 	text, err := json.MarshalIndent(map[string]any{
 		"name": fmt.Sprint("n", i), "listen": "127.0.0.1:0", "discovery": r.Discovery.Addr().String(),
 		"seed": fmt.Sprintf("%x", 1000+i), "limits": map[string]any{"memory_mb": 192, "sockets": r.Sockets},
-		"known": json.RawMessage(r.Discovery.Known()), "settings": r.settings(i),
+		"known": json.RawMessage(r.Discovery.Known()), "settings": r.World.Settings(i),
 	}, "", " ")
 	if err != nil {
 		return "", err
@@ -135,23 +135,24 @@
 	return path, os.WriteFile(path, text, 0o600)
 }
 
-func (r *Rig) settings(i int) map[string]any {
+// Settings returns the settings of scheduler i, as the platform's configuration has them.
+func (w World) Settings(i int) map[string]any {
 	ns := func(d time.Duration) int64 { return int64(d) }
 	var classes, tenants []map[string]any
 	var kinds []string
 	var stretch []float64
-	for _, c := range r.Classes {
+	for _, c := range w.Classes {
 		classes = append(classes, map[string]any{"name": c.Name, "aim": ns(c.Aim), "deadline": ns(c.Wait), "effect": c.Effect, "gain": 1})
 		stretch = append(stretch, 2)
 	}
-	for _, t := range r.Tenants {
-		tenants = append(tenants, map[string]any{"name": t.Name, "quotaRps": math.Round(t.Share*0.85*r.Capacity()*10) / 10})
+	for _, t := range w.Tenants {
+		tenants = append(tenants, map[string]any{"name": t.Name, "quotaRps": math.Round(t.Share*0.85*w.Capacity()*10) / 10})
 	}
-	for _, k := range r.Kinds {
+	for _, k := range w.Kinds {
 		kinds = append(kinds, k.Name)
 	}
 	return map[string]any{
-		"balancers": r.World.Schedulers, "slotNo": i, "discovery": "subscribe", "dcs": r.Zones, "zone": r.Zones[i%len(r.Zones)], "flavors": kinds,
+		"balancers": w.Schedulers, "slotNo": i, "discovery": "subscribe", "dcs": w.Zones, "zone": w.Zones[i%len(w.Zones)], "flavors": kinds,
 		"grades": classes, "projects": tenants, "familyInfo": map[string]any{"classStretch": stretch, "tellsStart": true},
 		"bounds": map[string]any{"cancel": true, "secondCopies": true, "retryAfter": true, "maxRetryAfter": ns(2 * time.Second),
 			"maxAttempts": 3, "connIdle": ns(30 * time.Second), "connectTimeout": ns(time.Second), "streamsPerConn": 1},
@@ -231,9 +232,9 @@
 	return runs
 }
 
-// atMostOnce reports whether a job's id says that it must not run twice.
-func (r *Rig) atMostOnce(id string) bool {
-	for _, c := range r.Classes {
+// AtMostOnce reports whether a job's id says that it must not run twice.
+func (w World) AtMostOnce(id string) bool {
+	for _, c := range w.Classes {
 		if c.Effect == "at_most_once" && strings.Contains(id, "/"+c.Name+"/") {
 			return true
 		}
--- a/internal/standin/discovery.go
+++ b/internal/standin/discovery.go
@@ -23,14 +23,35 @@
 	Born   int64   `json:"born_ms"`
 }
 
+// A Price is what discovery's calls cost: it serves them one after another. The zero
+// value costs nothing. A watch costs only when it is answered.
+type Price struct {
+	Call, Line time.Duration // for each call, and for each host in its answer
+	Patience   time.Duration // a call that has waited longer for its turn ends in 503
+}
+
+// Calls is what discovery has been asked.
+type Calls struct {
+	Asked, Answered, Refused int
+	Most                     int // that came in one second
+	Waiting                  int // for their turn now
+}
+
 // Discovery serves the machine list and watches on it.
 type Discovery struct {
 	*Server
+	Price Price // set before the first call
+
+	turn chan struct{}
 
 	mu      sync.Mutex
 	seq     int
 	hosts   []host
+	at      map[string]int // the version in which each host last changed, also those that left
 	changed chan struct{}
+	calls   Calls
+	seconds map[int64]int
+	first   map[string]time.Time // first answer to each view
 }
 
 // StartDiscovery starts a discovery that knows these nodes.
@@ -43,14 +64,23 @@
 }
 
 func DiscoveryOn(l net.Listener, nodes ...*Node) *Discovery {
-	d := &Discovery{changed: make(chan struct{})}
+	d := &Discovery{
+		changed: make(chan struct{}), turn: make(chan struct{}, 1), at: map[string]int{},
+		seconds: map[int64]int{}, first: map[string]time.Time{},
+	}
 	for _, n := range nodes {
 		d.Put(n, "active")
 	}
-	d.Server = Serve(l, d.handle)
+	d.Server = d.View(l, "", nil)
 	return d
 }
 
+// View serves the same list on another listener, under a name, with each host's address
+// as dial has it there; nil leaves them.
+func (d *Discovery) View(l net.Listener, name string, dial func(host, addr string) string) *Server {
+	return Serve(l, func(c net.Conn, r *http.Request, _ string) bool { return d.handle(c, r, name, dial) })
+}
+
 // Put says how a node is: active, leaving, or left.
 func (d *Discovery) Put(n *Node, health string) {
 	h := host{Host: n.Name, Dial: n.Addr(), Zone: n.Zone, Kind: n.Kind, Health: health, Share: 1}
@@ -77,35 +107,124 @@
 		d.hosts = append(d.hosts, h)
 	}
 	d.seq++
+	d.at[h.Host] = d.seq
 	close(d.changed)
 	d.changed = make(chan struct{})
 }
 
-func (d *Discovery) handle(c net.Conn, r *http.Request, _ string) bool {
+func (d *Discovery) handle(c net.Conn, r *http.Request, view string, dial func(host, addr string) string) bool {
 	q := r.URL.Query()
+	index, _ := strconv.Atoi(q.Get("index"))
+	now := time.Now()
 	d.mu.Lock()
+	d.calls.Asked++
+	d.seconds[now.Unix()]++
+	d.calls.Most = max(d.calls.Most, d.seconds[now.Unix()])
 	changed, seq := d.changed, d.seq
 	d.mu.Unlock()
-	if q.Get("index") == strconv.Itoa(seq) {
+	if index == seq {
 		ms, _ := strconv.Atoi(q.Get("wait"))
 		select {
 		case <-changed:
 		case <-time.After(time.Duration(ms) * time.Millisecond):
 		}
 	}
-	d.mu.Lock()
-	body, err := json.Marshal(map[string]any{"seq": d.seq, "whole": true, "hosts": d.hosts})
-	d.mu.Unlock()
+	list := d.since(index, dial)
+	if !d.pay(len(list.Hosts)) {
+		_, err := io.WriteString(c, "HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n")
+		return err == nil
+	}
+	body, err := json.Marshal(list)
 	if err == nil {
 		_, err = io.WriteString(c, fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(body), body))
 	}
+	if err == nil {
+		d.mu.Lock()
+		if d.first[view].IsZero() {
+			d.first[view] = time.Now()
+		}
+		d.mu.Unlock()
+	}
 	return err == nil
 }
 
-// Known returns the list as a scheduler's configuration has it.
-func (d *Discovery) Known() []byte {
+// A list is an answer.
+type list struct {
+	Version int    `json:"seq"`
+	Whole   bool   `json:"whole"`
+	Hosts   []host `json:"hosts"`
+}
+
+// since returns what has changed since a version, or the whole list if it is not known.
+func (d *Discovery) since(version int, dial func(host, addr string) string) list {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	l := list{Version: d.seq, Whole: version <= 0 || version > d.seq, Hosts: []host{}}
+	here := map[string]bool{}
+	for _, h := range d.hosts {
+		here[h.Host] = true
+		if l.Whole || d.at[h.Host] > version {
+			if dial != nil {
+				h.Dial = dial(h.Host, h.Dial)
+			}
+			l.Hosts = append(l.Hosts, h)
+		}
+	}
+	for name, at := range d.at {
+		if !l.Whole && !here[name] && at > version {
+			l.Hosts = append(l.Hosts, host{Host: name, Health: "left"})
+		}
+	}
+	return l
+}
+
+// pay waits for the turn of a call and spends its time; false after too long a wait.
+func (d *Discovery) pay(lines int) bool {
+	count := func(waiting, answered, refused int) {
+		d.mu.Lock()
+		defer d.mu.Unlock()
+		d.calls.Waiting += waiting
+		d.calls.Answered += answered
+		d.calls.Refused += refused
+	}
+	if d.Price == (Price{}) {
+		count(0, 1, 0)
+		return true
+	}
+	count(1, 0, 0)
+	select {
+	case d.turn <- struct{}{}:
+		<-time.After(d.Price.Call + time.Duration(lines)*d.Price.Line)
+		<-d.turn
+		count(-1, 1, 0)
+		return true
+	case <-time.After(d.Price.Patience):
+		count(-1, 0, 1)
+		return false
+	}
+}
+
+// Calls returns what has been asked so far.
+func (d *Discovery) Calls() Calls {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.calls
+}
+
+// First returns when a view was first answered, and forgets it; zero if it never was.
+func (d *Discovery) First(view string) time.Time {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	known, _ := json.Marshal(map[string]any{"seq": d.seq, "whole": true, "hosts": d.hosts})
+	at := d.first[view]
+	delete(d.first, view)
+	return at
+}
+
+// Known returns the list as a scheduler's configuration has it.
+func (d *Discovery) Known() []byte { return d.KnownAt(nil) }
+
+// KnownAt returns it with the hosts' addresses as a view has them.
+func (d *Discovery) KnownAt(dial func(host, addr string) string) []byte {
+	known, _ := json.Marshal(d.since(0, dial))
 	return known
 }
--- a/internal/standin/node.go
+++ b/internal/standin/node.go
@@ -115,6 +115,14 @@
 	CutAfter int     // it resets the connection after this many bytes of its answer; 0: never
 }
 
+// A Cold is how a node that has just started comes to its speed, and what it bears until then.
+type Cold struct {
+	From     float64       // share of its capacity that it starts with
+	Warm     time.Duration // it has all of it after this
+	Multiple float64       // sent more than so many times what it can do
+	Window   time.Duration // within this, it falls over and stays down
+}
+
 // A Node is an execute node: slots, a bounded queue in order, and a log of what it
 // really ran.
 type Node struct {
@@ -122,6 +130,7 @@
 	Work             func(class string) time.Duration // how long a job runs
 	Started          time.Time                        // reported as its start; zero: long ago
 	Via              string                           // the address that discovery tells; "": its own
+	Cold             *Cold                            // nil: it is warm at once and bears anything
 
 	server    *Server
 	slots     chan struct{}
@@ -130,6 +139,52 @@
 	mu        sync.Mutex
 	runs      map[string]int
 	tenants   map[string]int
+	lately    []sent // within Cold.Window, while it is cold
+	fallen    bool
+}
+
+// A sent is work that reached a cold node.
+type sent struct {
+	at   time.Time
+	work time.Duration
+}
+
+// warmth is the share of its capacity that a node has.
+func (n *Node) warmth(now time.Time) float64 {
+	if n.Cold == nil || n.Started.IsZero() {
+		return 1
+	}
+	return min(1, n.Cold.From+(1-n.Cold.From)*float64(now.Sub(n.Started))/float64(n.Cold.Warm))
+}
+
+// bears takes in work that has arrived, and reports whether the node still stands. The
+// heaviest job is not counted: one alone is no push.
+func (n *Node) bears(work time.Duration) bool {
+	now := time.Now()
+	w := n.warmth(now)
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if w >= 1 || n.fallen {
+		return !n.fallen
+	}
+	n.lately = append(n.lately, sent{now, work})
+	for now.Sub(n.lately[0].at) > n.Cold.Window {
+		n.lately = n.lately[1:]
+	}
+	var sum, most time.Duration
+	for _, s := range n.lately {
+		sum += s.work
+		most = max(most, s.work)
+	}
+	n.fallen = float64(sum-most) > n.Cold.Multiple*float64(cap(n.slots))*w*float64(n.Cold.Window)
+	return !n.fallen
+}
+
+// Fallen reports whether the node was pushed over.
+func (n *Node) Fallen() bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.fallen
 }
 
 // StartNode starts a node with so many slots and places in its queue.
@@ -187,7 +242,9 @@
 
 func (n *Node) handle(c net.Conn, r *http.Request, id string) bool {
 	b := *n.behaviour.Load()
-	if b.Hang {
+	class, _, _ := strings.Cut(strings.TrimPrefix(r.URL.Path, "/"), "/")
+	work := n.Work(class)
+	if !n.bears(work) || b.Hang {
 		io.Copy(io.Discard, c) // until the scheduler gives up
 		return false
 	}
@@ -207,12 +264,12 @@
 	if b.Fail {
 		return SayStates(c, id, true, `"failed"`)
 	}
-	class, _, _ := strings.Cut(strings.TrimPrefix(r.URL.Path, "/"), "/")
 	w := &cutter{Conn: c, left: b.CutAfter}
 	if !SayStates(w, id, false, `"started"`) {
 		return false
 	}
-	if work := n.Work(class); work > 0 {
+	if work > 0 {
+		work = time.Duration(float64(work) / n.warmth(time.Now()))
 		if b.Slower > 0 {
 			work = time.Duration(float64(work) * b.Slower)
 		}
