--- a/internal/lab/fleet/fleet_test.go
+++ b/internal/lab/fleet/fleet_test.go
@@ -97,8 +97,13 @@
 		sum = standin.Total(sum, l.Take())
 		return sum.Served+sum.Late >= 5*len(f.Processes)
 	})
-	sum = standin.Total(sum, l.Stop())
-	if sum.Lost > 0 {
+	ends(t, f, l, sum)
+}
+
+// ends ends a load, some of whose jobs have been counted, and judges.
+func ends(t *testing.T, f *Fleet, l *Load, sum standin.Tally) {
+	t.Helper()
+	if sum = standin.Total(sum, l.Stop()); sum.Lost > 0 {
 		t.Errorf("%d of %d jobs without a whole answer", sum.Lost, sum.Asked)
 	}
 	judge(t, f)
@@ -159,10 +164,7 @@
 			awaitLists(t, f, f.Processes...)
 			l := f.StartLoad("back", 400, 2)
 			await(t, "the new node runs jobs", func() bool { return len(fresh.Runs()) > 0 })
-			if sum := l.Stop(); sum.Lost > 0 {
-				t.Errorf("%d jobs lost", sum.Lost)
-			}
-			judge(t, f)
+			ends(t, f, l, standin.Tally{})
 		})
 	}
 }
@@ -251,10 +253,7 @@
 	await(t, "all ask again", func() bool { return f.Discovery.Calls().Asked >= asked+len(f.Processes) })
 	l := f.StartLoad("cut", 400, 2)
 	await(t, "the new node runs jobs", func() bool { return len(fresh.Runs()) > 0 })
-	if sum := l.Stop(); sum.Lost > 0 {
-		t.Errorf("%d jobs lost", sum.Lost)
-	}
-	judge(t, f)
+	ends(t, f, l, standin.Tally{})
 }
 
 // SIGTERM while they start and hear nothing of discovery: each ends well, and every job
@@ -296,10 +295,7 @@
 		sum = standin.Total(sum, l.Take())
 		return sum.Served >= 100
 	})
-	if sum = standin.Total(sum, l.Stop()); sum.Lost > 0 {
-		t.Errorf("%d jobs lost", sum.Lost)
-	}
-	judge(t, f)
+	ends(t, f, l, sum)
 }
 
 // The oracle sees: a cold node that is sent too much falls, one that is not does not.
@@ -324,7 +320,8 @@
 func TestColdStartTrial(t *testing.T) {
 	r, err := ColdStart{Program: program, Schedulers: 5, Nodes: 10, Seed: 1, For: 3 * time.Second, Load: 0.2, Replaced: 0.5}.Run(io.Discard)
 	must(t, err)
-	if !r.OK() || r.Listed != 5 || !r.Drained {
+	// 10 nodes do 42 of these jobs a second; asked for are a fifth, and all must count.
+	if !r.OK() || r.Listed != 5 || !r.Drained || r.Tally.Asked < 15 {
 		t.Errorf("%s (drained %v)", r.Line(), r.Drained)
 	}
 	for _, bad := range []func(*ColdStartResult){
--- a/internal/lab/fleet/process.go
+++ b/internal/lab/fleet/process.go
@@ -147,7 +147,7 @@
 			}
 		}
 		p.mu.Lock()
-		ended := p.cmd == nil
+		ended := p.cmd == nil && p.done != nil // not: yet to be started
 		p.mu.Unlock()
 		if ended {
 			return fmt.Errorf("%s ended: %v\n%s", p.Name, p.Wait(), strings.Join(p.Log(), "\n"))
