Let a fetch weigh less for long jobs where there are many schedulers

Change: a fetch weighs two jobs times twice the lightest class's median over the job's own, two at most; few schedulers as before.

Ruled out: a budget for moves, young workers as homes, doubt in full for all, homes only while few sends find room.

--- a/dispatcher.go
+++ b/dispatcher.go
@@ -809,7 +809,7 @@
 			return
 		}
 		if j.req.Key != 0 && !has && !w.holds(j.req.Key) {
-			extra += fetchJobs
+			extra += d.fetch(j)
 		}
 		if c := d.cost(j, w) + extra + d.rng.Float64()*1e-3; c < bestCost {
 			best, bestCost = w, c
@@ -846,6 +846,14 @@
 	return best
 }
 
+// fetch is the jobs that a fetch weighs. It takes less of a long job's time; many look for room first.
+func (d *Dispatcher) fetch(j *job) float64 {
+	if !d.many() {
+		return fetchJobs
+	}
+	return fetchJobs * min(1, 2*float64(d.lightest())/float64(max(1, j.class.median)))
+}
+
 const (
 	mostHomes = 16  // that a key has
 	homeRoom  = 1.5 // homes of a key over what its part of the jobs would fill
--- a/fleet_test.go
+++ b/fleet_test.go
@@ -425,3 +425,24 @@
 		}
 	}
 }
+
+// A fetch weighs less for a long job: it goes where one started some seconds ago rather than
+// to a home not met yet, a light one of its own kind goes home.
+func TestManyWeighAFetchByTheJob(t *testing.T) {
+	for median, wantHome := range map[int64]bool{1: true, 10: false} {
+		r := newRig(t, manyConfig(), fleet(60)...)
+		makeRare(r)
+		r.now += 60 * second
+		r.step()
+		c := &r.d.classes[1]
+		c.median = median * r.d.classes[0].median
+		homes, _ := r.d.nearest(&job{class: c, req: Request{Key: 7}})
+		met := r.d.list[slices.IndexFunc(r.d.list, func(w *worker) bool { return !slices.Contains(homes, w) })]
+		met.good = r.now - 3*second
+		r.d.heard(met)
+		r.step(keyed(r, 1, 1, 7))
+		if a := r.want(ActionSend, 1)[0]; (a.Worker == homes[0].id) != wantHome {
+			t.Errorf("a job %d times as long goes to %s; home is %s, met is %s", median, a.Worker, homes[0].id, met.id)
+		}
+	}
+}
