Keys in a file of their own, the live workers named so; a check that could not fail mended

Change: nearest, the key log and what a worker holds move to keys.go as they were; ring is live; the test ends the processes first and checks both halves: the first news is the known list, the cut-off four have no other.

The same check with the wrong count failed for the four, so it sees.

--- a/dispatcher.go
+++ b/dispatcher.go
@@ -65,7 +65,7 @@
 	room     [][][]*worker // by kind+1, then by own count: workers that may get a job
 	levels   int           // most levels of any kind
 	joined   []*worker     // of several kinds, for roomAt
-	ring     []*worker     // the live ones
+	live     []*worker     // the live ones
 	keys     keyLog        // of the last jobs
 	inflight float64       // slots of our jobs in flight
 	waits    int           // attempts sent that have not started, on workers that may be well
@@ -643,7 +643,7 @@
 
 // queueRoom is how many of our jobs that cannot be moved may wait at the workers, so
 // that all dispatchers together keep the queues there short: about one at each.
-func (d *Dispatcher) queueRoom() int { return max(2, len(d.ring)/d.cfg.Dispatchers) }
+func (d *Dispatcher) queueRoom() int { return max(2, len(d.live)/d.cfg.Dispatchers) }
 
 func (d *Dispatcher) sendAgain() {
 	kept := d.resend[:0]
@@ -1173,7 +1173,7 @@
 // no two with room have reported lately: a quiet dispatcher knows of the fleet only what
 // was true many jobs ago. The answers make those workers the last that reported.
 func (d *Dispatcher) scout(j *job) bool {
-	if !d.cfg.MayProbe || len(d.cfg.Gauges) == 0 || len(d.ring) <= len(d.fresh) || d.usual.avg > fullFleet {
+	if !d.cfg.MayProbe || len(d.cfg.Gauges) == 0 || len(d.live) <= len(d.fresh) || d.usual.avg > fullFleet {
 		return false
 	}
 	known := 0
@@ -1186,7 +1186,7 @@
 		return false
 	}
 	for range 2 {
-		if w := d.ring[d.rng.IntN(len(d.ring))]; w.level == 0 && !d.young(w) {
+		if w := d.live[d.rng.IntN(len(d.live))]; w.level == 0 && !d.young(w) {
 			d.actions = append(d.actions, Action{Kind: ActionProbe, Worker: w.id})
 			j.asked++
 		}
@@ -1232,9 +1232,9 @@
 			w.setState(Gone, d.now)
 		}
 	}
-	d.rebuildRing()
+	d.collectLive()
 	if kind == ListSaved || d.window == 0 {
-		d.window = d.meanCap() * float64(len(d.ring)) / d.crowd // nothing is known against it
+		d.window = d.meanCap() * float64(len(d.live)) / d.crowd // nothing is known against it
 	}
 	for _, w := range d.list {
 		d.place(w)
--- a/fleet_test.go
+++ b/fleet_test.go
@@ -401,7 +401,7 @@
 	d := newRig(t, manyConfig(), fleet(60)...).d
 	home := func(key uint64) *worker {
 		ws, of := d.nearest(&job{class: &d.classes[0], req: Request{Key: key}})
-		if of != len(d.ring) {
+		if of != len(d.live) {
 			t.Fatalf("of %d workers", of)
 		}
 		return ws[0]
@@ -417,8 +417,8 @@
 			t.Errorf("%s is the home of %d keys in 6000", w.id, n)
 		}
 	}
-	lost := d.ring[7]
-	d.ring = append(d.ring[:7:7], d.ring[8:]...)
+	lost := d.live[7]
+	d.live = append(d.live[:7:7], d.live[8:]...)
 	for key, w := range before {
 		if now := home(key); (now != w) != (w == lost) {
 			t.Errorf("key %d moved from %s to %s when %s went", key, w.id, now.id, lost.id)
--- a/internal/lab/fleet/fleet_test.go
+++ b/internal/lab/fleet/fleet_test.go
@@ -178,9 +178,10 @@
 	must(t, f.StartAll(20*time.Second))
 	awaitLists(t, f, f.Processes[:4]...)
 	serves(t, f, "half")
-	for _, p := range f.Processes[4:] {
-		if !f.Discovery.First(p.Name).IsZero() && p.Counter("machines.told") > 0 {
-			t.Errorf("%s was told through a link that passes nothing back", p.Name)
+	must(t, f.EndAll()) // which prints the counters
+	for i, p := range f.Processes {
+		if told := p.Counter("machines.told") > 1; told != (i < 4) { // the first is the known list
+			t.Errorf("%s was told of changes: %v", p.Name, told)
 		}
 	}
 }
--- a/state.go
+++ b/state.go
@@ -108,24 +108,6 @@
 	keys       []uint64 // of our last jobs there, the newest first
 }
 
-const keptKeys = 5 // on more than these a worker has mostly given up the first
-
-// holds reports whether a worker is likely to have what jobs with a key need.
-func (w *worker) holds(key uint64) bool { return slices.Contains(w.keys, key) }
-
-// keep notes that a job with a key goes to a worker.
-func (w *worker) keep(key uint64) {
-	if key == 0 {
-		return
-	}
-	if i := slices.Index(w.keys, key); i >= 0 {
-		w.keys = slices.Delete(w.keys, i, i+1)
-	} else if len(w.keys) == keptKeys {
-		w.keys = w.keys[:keptKeys-1]
-	}
-	w.keys = slices.Insert(w.keys, 0, key)
-}
-
 // mean follows an average and the mean deviation from it.
 type mean struct{ avg, dev float64 }
 
@@ -193,72 +175,14 @@
 	return d.joined
 }
 
-// rebuildRing collects the live workers.
-func (d *Dispatcher) rebuildRing() {
-	d.ring = d.ring[:0]
+// collectLive collects the live workers.
+func (d *Dispatcher) collectLive() {
+	d.live = d.live[:0]
 	for _, w := range d.list {
 		if w.state == Live {
-			d.ring = append(d.ring, w)
-		}
-	}
-}
-
-// nearest returns the warm workers of the own zone and of the job's kind that come first
-// by rendezvous hashing of its key: each key has an order of workers of its own, and one
-// worker more or less moves no key but its own. Where crossings are free zones don't count.
-// It also returns how many workers they are the first of.
-func (d *Dispatcher) nearest(j *job) (homes []*worker, of int) {
-	var hashes [mostHomes]uint64
-	ws := make([]*worker, 0, mostHomes)
-	for _, w := range d.ring {
-		if d.young(w) || j.class.Kind >= 0 && w.kind != j.class.Kind ||
-			w.zone != d.cfg.Zone && d.cfg.Prices.CrossZone > 0 {
-			continue
-		}
-		of++
-		h := mix(w.hash ^ j.req.Key*0x9e3779b97f4a7c15)
-		i := len(ws)
-		if i < mostHomes {
-			ws = append(ws, w)
-		} else if i--; h <= hashes[i] {
-			continue
-		}
-		for ; i > 0 && hashes[i-1] < h; i-- {
-			hashes[i], ws[i] = hashes[i-1], ws[i-1]
-		}
-		hashes[i], ws[i] = h, w
-	}
-	return ws, of
-}
-
-// mix spreads the bits of x over all of it (the finalizer of MurmurHash3).
-func mix(x uint64) uint64 {
-	x = (x ^ x>>33) * 0xff51afd7ed558ccd
-	x = (x ^ x>>33) * 0xc4ceb9fe1a85ec53
-	return x ^ x>>33
-}
-
-// A keyLog holds the keys of the last jobs, the newest over the oldest.
-type keyLog struct {
-	last [256]uint64
-	n    int // that were ever added
-}
-
-func (l *keyLog) add(key uint64) {
-	l.last[l.n%len(l.last)] = key
-	l.n++
-}
-
-// part returns the part of the last jobs that had a key, and a few more that had not: of
-// the first jobs one says little.
-func (l *keyLog) part(key uint64) float64 {
-	n := 0
-	for _, k := range l.last {
-		if k == key {
-			n++
+			d.live = append(d.live, w)
 		}
 	}
-	return float64(n) / float64(min(l.n, len(l.last))+16)
 }
 
 // A classLoop is a class with its regulator. v is u as a share of u_max, so that
