Pace the calls for the list by the sum of all schedulers

Need: 300 schedulers that start at once made 250 calls in the busiest second of a discovery that bears 45; 27 to 29 % ended in 503. After a failure each waited half a second, doubled, so whoever had been turned away most often came back last: that is how one starved for 19 s.

Change: internal/coldstart, a state machine without clock, says when to call again. Turned away after a wait w: within max(w, n/100 s) the first time, sooner each time after. Failed at once: within n/100 s, 200 calls a second in sum whatever n is. A switch of discovery was tried again every 50 ms by each (6,000 calls a second of 300): now likewise bounded. The watch goes on by itself; before, the module's backoff began it again.

--- /dev/null
+++ b/internal/coldstart/asker_test.go
@@ -0,0 +1,228 @@
+package coldstart
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+)
+
+// A fleet plays askers against one discovery that serves calls one after another, by the
+// order in which they came, and refuses what has waited for patience. It has no real clock.
+type askers struct {
+	n              int
+	cost, patience time.Duration
+	down           time.Duration // until then every call fails at once
+	naive          bool          // pauses as before: half a second, doubled, of which half is chance
+	events         schedule
+}
+
+type event struct {
+	at   time.Duration
+	do   func(now time.Duration)
+	tick int
+}
+
+type schedule []event
+
+func (s schedule) Len() int { return len(s) }
+func (s schedule) Less(i, j int) bool {
+	return s[i].at < s[j].at || s[i].at == s[j].at && s[i].tick < s[j].tick
+}
+func (s schedule) Swap(i, j int) { s[i], s[j] = s[j], s[i] }
+func (s *schedule) Push(x any)   { *s = append(*s, x.(event)) }
+func (s *schedule) Pop() any {
+	last := (*s)[len(*s)-1]
+	*s = (*s)[:len(*s)-1]
+	return last
+}
+
+// seen is what a play saw.
+type seen struct {
+	half, all      time.Duration // until half, and all, had an answer
+	calls, refused int
+	most           int // calls in one second
+}
+
+func (f *askers) play(seed uint64) (r seen) {
+	ticks := 0
+	after := func(at time.Duration, do func(time.Duration)) {
+		ticks++
+		heap.Push(&f.events, event{at, do, ticks})
+	}
+	rng := rand.New(rand.NewPCG(seed, 3))
+	seconds := map[time.Duration]int{}
+	var queue []func(now time.Duration)
+	busy, answered := false, 0
+	var serve func(now time.Duration)
+	serve = func(now time.Duration) {
+		if !busy && len(queue) > 0 {
+			next := queue[0]
+			queue = queue[1:]
+			next(now)
+		}
+	}
+	for range f.n {
+		a := NewAsker(f.n, 20*time.Second, rand.New(rand.NewPCG(seed, rng.Uint64())))
+		backoff := 250 * time.Millisecond
+		var ask func(now time.Duration)
+		failed := func(now, took time.Duration, o Outcome) {
+			r.refused++
+			pause := a.After(o, took)
+			if f.naive {
+				backoff = min(2*backoff, 5*time.Second)
+				pause = backoff/2 + time.Duration(rng.Int64N(int64(backoff/2)))
+			}
+			after(now+pause, ask)
+		}
+		ask = func(began time.Duration) {
+			r.calls++
+			seconds[began/time.Second]++
+			r.most = max(r.most, seconds[began/time.Second])
+			if began < f.down {
+				failed(began, 0, Unreachable)
+				return
+			}
+			waits := true
+			queue = append(queue, func(now time.Duration) {
+				if !waits {
+					serve(now)
+					return
+				}
+				waits, busy = false, true
+				after(now+f.cost, func(now time.Duration) {
+					busy = false
+					if answered++; answered == (f.n+1)/2 {
+						r.half = now
+					}
+					r.all = now
+					serve(now)
+				})
+			})
+			after(began+f.patience, func(now time.Duration) {
+				if waits {
+					waits = false
+					failed(now, f.patience, Busy)
+				}
+			})
+			serve(began)
+		}
+		after(a.First()+time.Duration(rng.Int64N(int64(startSpread))), ask)
+	}
+	for len(f.events) > 0 {
+		e := heap.Pop(&f.events).(event)
+		e.do(e.at)
+	}
+	return r
+}
+
+// One second's calls of all schedulers stay under a figure that does not grow with them, and
+// the last has its list soon after discovery could have answered all one after another.
+func TestAskersTogether(t *testing.T) {
+	for _, n := range []int{1, 10, 100, 300, 1000} {
+		for _, down := range []time.Duration{0, 10 * time.Second} {
+			t.Run(fmt.Sprintf("%d, down %v", n, down), func(t *testing.T) {
+				var worst, before seen
+				for seed := range uint64(10) {
+					play := func(naive bool, r *seen) {
+						f := askers{n: n, cost: 22 * time.Millisecond, patience: 2 * time.Second, down: down, naive: naive}
+						s := f.play(seed)
+						*r = seen{max(r.half, s.half), max(r.all, s.all), max(r.calls, s.calls), max(r.refused, s.refused), max(r.most, s.most)}
+					}
+					play(false, &worst)
+					play(true, &before)
+				}
+				t.Logf("half %.2f s, all %.2f s, calls %d, refused %d, in a second %d; before: %.2f s, %.2f s, %d, %d, %d",
+					worst.half.Seconds(), worst.all.Seconds(), worst.calls, worst.refused, worst.most,
+					before.half.Seconds(), before.all.Seconds(), before.calls, before.refused, before.most)
+				least := down + time.Duration(n)*22*time.Millisecond
+				if limit := least + least/4 + 2*time.Second; worst.all > limit {
+					t.Errorf("the last has its list after %v, want %v", worst.all, limit)
+				}
+				if worst.most > 500 {
+					t.Errorf("%d calls in a second", worst.most)
+				}
+				if n >= 300 && down == 0 && 10*worst.calls > 9*before.calls {
+					t.Errorf("%d calls, %d before", worst.calls, before.calls)
+				}
+			})
+		}
+	}
+}
+
+// Who was turned away more often comes back sooner, on average.
+func TestTurnedAwayComesBackSooner(t *testing.T) {
+	mean := func(times int) (sum time.Duration) {
+		rng := rand.New(rand.NewPCG(1, 2))
+		for range 2000 {
+			a := NewAsker(300, 0, rng)
+			for range times - 1 {
+				a.After(Busy, 2*time.Second)
+			}
+			sum += a.After(Busy, 2*time.Second) / 2000
+		}
+		return sum
+	}
+	if one, three := mean(1), mean(3); three > one*3/5 || three < one*2/5 {
+		t.Errorf("pauses of %v after the first refusal, %v after the third", one, three)
+	}
+}
+
+func TestPauses(t *testing.T) {
+	for _, c := range []struct {
+		name        string
+		n           int
+		before      []Outcome
+		moved       bool
+		o           Outcome
+		took        time.Duration
+		least, most time.Duration
+	}{
+		{"answered", 300, []Outcome{Busy, Busy}, false, Answered, time.Second, 0, 0},
+		{"a few, down", 3, nil, false, Unreachable, 0, 50 * time.Millisecond, 100 * time.Millisecond},
+		{"a few, down for long", 3, slices.Repeat([]Outcome{Unreachable}, 20), false, Unreachable, 0, 50 * time.Millisecond, time.Second},
+		{"many, down", 300, nil, false, Unreachable, 0, 50 * time.Millisecond, 3 * time.Second},
+		{"many, turned away", 300, nil, false, Busy, 2 * time.Second, 50 * time.Millisecond, 3 * time.Second},
+		{"many, after a long wait", 300, nil, false, Silent, 4 * time.Second, 50 * time.Millisecond, 4 * time.Second},
+		{"a fleet without end", 1 << 40, nil, false, Unreachable, 0, 50 * time.Millisecond, 20 * time.Second},
+		{"a few, moved", 3, nil, true, Unreachable, 0, 50 * time.Millisecond, 50 * time.Millisecond},
+		{"many, moved", 300, nil, true, Unreachable, 0, 50 * time.Millisecond, 500 * time.Millisecond},
+		{"faulty", 300, nil, false, Faulty, 0, 50 * time.Millisecond, 3 * time.Second},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			var low, high time.Duration = time.Hour, 0
+			for seed := range uint64(500) {
+				a := NewAsker(c.n, 20*time.Second, rand.New(rand.NewPCG(seed, 1)))
+				for _, o := range c.before {
+					a.After(o, time.Second)
+				}
+				if c.moved {
+					a.Moved()
+				}
+				pause := a.After(c.o, c.took)
+				low, high = min(low, pause), max(high, pause)
+			}
+			if low < c.least || high > c.most || high < c.most*4/5 {
+				t.Errorf("pauses from %v to %v, want %v to %v", low, high, c.least, c.most)
+			}
+		})
+	}
+}
+
+// After a move that is never answered the fleet's bound holds again.
+func TestMovedEnds(t *testing.T) {
+	a := NewAsker(300, 0, rand.New(rand.NewPCG(1, 1)))
+	a.Moved()
+	for range movedTries {
+		a.After(Unreachable, 0)
+	}
+	var most time.Duration
+	for range 200 {
+		most = max(most, a.After(Unreachable, 0))
+	}
+	if most < 2500*time.Millisecond {
+		t.Errorf("pauses up to %v", most)
+	}
+}
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -36,8 +36,8 @@
 
 // MachineList is the watch on discovery's list.
 type MachineList interface {
-	// Watch starts the watch. What it learns comes back through Core.Machines,
-	// a failure as ListFailed; after a failure it rests until called again.
+	// Watch starts the watch, or does nothing where there is one. What it learns comes
+	// back through Core.Machines, each failure as ListFailed; it goes on by itself.
 	Watch()
 }
 
--- /dev/null
+++ b/internal/platform/caller.go
@@ -0,0 +1,90 @@
+package platform
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/vatu-meals/foxlift/internal/coldstart"
+)
+
+const dialLimit = time.Second // for a connection to discovery
+
+// errList says that an answer is not a list, or not one that was asked for.
+var errList = errors.New("not a list")
+
+// A statusError is the status of an answer that is no list.
+type statusError int
+
+func (e statusError) Error() string { return fmt.Sprintf("status %d", int(e)) }
+
+// outcome says what a failed call tells of discovery.
+func outcome(err error) coldstart.Outcome {
+	var status statusError
+	var wait net.Error
+	switch {
+	case errors.As(err, &status) && status == http.StatusServiceUnavailable:
+		return coldstart.Busy
+	case errors.As(err, &wait) && wait.Timeout():
+		return coldstart.Silent
+	case errors.As(err, &status) || errors.Is(err, errList):
+		return coldstart.Faulty
+	}
+	return coldstart.Unreachable
+}
+
+// A caller makes calls to discovery, on one connection while it lasts.
+type caller struct {
+	ctx  context.Context // its end breaks off what is under way
+	addr string
+	conn net.Conn
+	buf  buffer
+	stop func() bool // conn no longer ends with ctx
+}
+
+func (c *caller) close() {
+	if c.conn != nil {
+		c.stop()
+		c.conn.Close()
+		c.conn = nil
+	}
+}
+
+func (c *caller) send(target string, limit time.Duration) error {
+	if c.conn == nil {
+		d := net.Dialer{Timeout: dialLimit}
+		conn, err := d.DialContext(c.ctx, "tcp", c.addr)
+		if err != nil {
+			return err
+		}
+		c.conn, c.buf = conn, buffer{conn: conn}
+		c.stop = context.AfterFunc(c.ctx, func() { conn.Close() })
+	}
+	c.conn.SetDeadline(time.Now().Add(limit))
+	_, err := fmt.Fprintf(c.conn, "GET %s HTTP/1.1\r\nHost: %s\r\n\r\n", target, c.addr)
+	return err
+}
+
+func (c *caller) receive() ([]byte, error) {
+	msg := c.buf.message(maxResponse)
+	defer msg.end()
+	resp, err := msg.response()
+	if err != nil {
+		return nil, err
+	}
+	body, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return nil, err
+	}
+	if resp.StatusCode != http.StatusOK {
+		return nil, statusError(resp.StatusCode)
+	}
+	if resp.Close {
+		c.close()
+	}
+	return body, nil
+}
--- a/internal/platform/machines.go
+++ b/internal/platform/machines.go
@@ -5,15 +5,15 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"io"
+	"math/rand/v2"
 	"net"
-	"net/http"
 	"sync"
 	"time"
 
 	"go.uber.org/zap"
 
 	"github.com/vatu-meals/foxlift"
+	"github.com/vatu-meals/foxlift/internal/coldstart"
 	"github.com/vatu-meals/foxlift/internal/config"
 )
 
@@ -23,11 +23,9 @@
 	waitEach    = time.Second             // and for each scheduler: so often all of them together ask anew
 	listLimit   = 4 * time.Second         // for the whole list: discovery gives up after 3 s
 	watchSlack  = 1500 * time.Millisecond // a watch's answer may come this much after its wait
-	dialLimit   = time.Second             // for a connection to discovery
 	catchUp     = 100 * time.Millisecond  // most that a claim waits for the watch to read
 	switchTime  = 3500 * time.Millisecond // after a switch to another discovery, calls that fail are made again
 	switchLimit = 2 * time.Second         // for the whole list then
-	switchPause = 50 * time.Millisecond   // between those
 )
 
 // machines is the machine list and the watch on it. Claims ask it just before
@@ -36,13 +34,15 @@
 	settings *config.Settings
 	tell     func(foxlift.ListKind, []foxlift.Worker)
 	log      *zap.Logger
+	asker    *coldstart.Asker // the watch's alone
 
 	mu       sync.Mutex
 	addr     string
-	cancel   context.CancelFunc // ends the calls to addr
+	cancel   context.CancelFunc // ends the calls to addr, and the pauses between them
 	urgent   time.Time          // until then the first whole list from addr is asked for again and again
 	entries  map[string]machine
 	version  int64
+	moved    bool // addr has changed since the last call
 	whole    bool // the next call takes the whole list: no version is known that its changes could go on from
 	watching bool
 	conn     net.Conn // the watch's, while an answer is awaited
@@ -58,7 +58,13 @@
 }
 
 func newMachines(addr string, s *config.Settings, tell func(foxlift.ListKind, []foxlift.Worker), log *zap.Logger) *machines {
-	return &machines{addr: addr, settings: s, tell: tell, log: log, entries: map[string]machine{}, whole: true}
+	// After a failed call four times as long may go by as without any: half of that is kept.
+	longest := 2 * time.Duration(s.Module.MustAskIn)
+	rng := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+	return &machines{
+		addr: addr, settings: s, tell: tell, log: log, entries: map[string]machine{}, whole: true,
+		asker: coldstart.NewAsker(s.Module.Dispatchers, longest, rng),
+	}
 }
 
 // A listing is discovery's answer.
@@ -208,7 +214,7 @@
 func (m *machines) switchTo(addr string) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.addr, m.whole, m.urgent = addr, true, time.Now().Add(switchTime)
+	m.addr, m.moved, m.whole, m.urgent = addr, true, true, time.Now().Add(switchTime)
 	if m.cancel != nil {
 		m.cancel()
 	}
@@ -225,44 +231,50 @@
 	}
 }
 
-// watch takes the whole list and then its changes, until a call fails. Only after
-// a switch does it try again by itself: what the new discovery has to tell counts
-// as told soon after, and the module's pause could be longer.
+// watch takes the list and then its changes, until it is stopped. What has failed is tried
+// again when the asker says so: it has the sum of all schedulers' calls in view, and an end
+// of the watch comes to all of them at once.
 func (m *machines) watch() {
-	for {
-		m.mu.Lock()
-		ctx, cancel := context.WithCancel(context.Background())
-		addr := m.addr
-		m.cancel = cancel
-		m.mu.Unlock()
-		err := m.follow(ctx, addr) // whatever ended it, the list is to be asked for again
+	for pause := m.asker.First(); ; {
 		m.mu.Lock()
 		if m.stopped {
 			m.watching = false
 			m.mu.Unlock()
-			cancel()
 			return
 		}
-		switched := ctx.Err() != nil
-		urgent := time.Now().Before(m.urgent)
-		m.cancel, m.conn = nil, nil
-		m.watching = switched || urgent
+		if m.moved {
+			m.moved, pause = false, 0
+			m.asker.Moved()
+		}
+		ctx, cancel := context.WithCancel(context.Background())
+		addr := m.addr
+		m.cancel = cancel
 		m.mu.Unlock()
+		select {
+		case <-time.After(pause):
+		case <-ctx.Done():
+		}
+		took, err := m.follow(ctx, addr)
+		broken := ctx.Err() != nil
 		cancel()
-		switch {
-		case switched:
-		case urgent:
-			<-time.After(switchPause)
-		default:
-			m.log.Warn("the watch on the machine list has ended", zap.String("discovery", addr), zap.Error(err))
+		m.mu.Lock()
+		m.cancel, m.conn = nil, nil
+		urgent := time.Now().Before(m.urgent) // what just started may not be there yet
+		m.mu.Unlock()
+		if broken {
+			continue
+		}
+		// A watch's wait is not one for its turn.
+		pause = m.asker.After(outcome(err), min(took, listLimit))
+		if !urgent {
+			m.log.Warn("the watch on the machine list has ended", zap.String("discovery", addr), zap.Error(err), zap.Duration("next", pause))
 			m.tell(foxlift.ListFailed, nil)
-			return
 		}
 	}
 }
 
-// follow makes calls until one fails or ctx ends.
-func (m *machines) follow(ctx context.Context, addr string) error {
+// follow makes calls until one fails or ctx ends, and returns how long that one took.
+func (m *machines) follow(ctx context.Context, addr string) (took time.Duration, err error) {
 	c := &caller{ctx: ctx, addr: addr}
 	defer c.close()
 	// Discovery has little time for each of many schedulers, and what it does is
@@ -274,7 +286,9 @@
 	var kind foxlift.ListKind
 	var news []foxlift.Worker
 	var told bool
-	for {
+	var began time.Time
+	defer func() { took = time.Since(began) }()
+	for began = time.Now(); ; began = time.Now() {
 		target, limit := pathMembers, m.listLimit()
 		if !whole {
 			target = fmt.Sprintf("%s?%s=%d&%s=%d", pathMembers, queryIndex, m.version, queryWait, wait.Milliseconds())
@@ -287,19 +301,19 @@
 			m.tell(kind, news)
 		}
 		if err != nil {
-			return err
+			return 0, err
 		}
 		m.await(c.conn)
 		body, err := c.receive()
 		if err != nil {
-			return err
+			return 0, err
 		}
 		l, err := parseListing(body)
 		if err == nil && whole && !l.Whole {
 			err = errors.New("the answer is not the whole list")
 		}
 		if err != nil {
-			return err
+			return 0, fmt.Errorf("%w: %w", errList, err)
 		}
 		if !l.Whole && *l.Version < m.version {
 			whole, told = true, false // discovery has lost count
@@ -307,13 +321,14 @@
 		}
 		told = l.Whole || len(l.Hosts) > 0
 		if news, err = m.takeFrom(ctx, l); err != nil {
-			return err
+			return 0, err
 		}
 		kind = foxlift.ListChanges
 		if l.Whole {
 			kind = foxlift.ListFull
 		}
 		whole = false
+		m.asker.After(coldstart.Answered, time.Since(began))
 	}
 }
 
@@ -339,55 +354,3 @@
 	defer m.mu.Unlock()
 	m.conn = conn
 }
-
-// A caller makes calls to discovery, on one connection while it lasts.
-type caller struct {
-	ctx  context.Context // its end breaks off what is under way
-	addr string
-	conn net.Conn
-	buf  buffer
-	stop func() bool // conn no longer ends with ctx
-}
-
-func (c *caller) close() {
-	if c.conn != nil {
-		c.stop()
-		c.conn.Close()
-		c.conn = nil
-	}
-}
-
-func (c *caller) send(target string, limit time.Duration) error {
-	if c.conn == nil {
-		d := net.Dialer{Timeout: dialLimit}
-		conn, err := d.DialContext(c.ctx, "tcp", c.addr)
-		if err != nil {
-			return err
-		}
-		c.conn, c.buf = conn, buffer{conn: conn}
-		c.stop = context.AfterFunc(c.ctx, func() { conn.Close() })
-	}
-	c.conn.SetDeadline(time.Now().Add(limit))
-	_, err := fmt.Fprintf(c.conn, "GET %s HTTP/1.1\r\nHost: %s\r\n\r\n", target, c.addr)
-	return err
-}
-
-func (c *caller) receive() ([]byte, error) {
-	msg := c.buf.message(maxResponse)
-	defer msg.end()
-	resp, err := msg.response()
-	if err != nil {
-		return nil, err
-	}
-	body, err := io.ReadAll(resp.Body)
-	if err != nil {
-		return nil, err
-	}
-	if resp.StatusCode != http.StatusOK {
-		return nil, fmt.Errorf("status %d", resp.StatusCode)
-	}
-	if resp.Close {
-		c.close()
-	}
-	return body, nil
-}
