Share nodes that may be cold out by turns while nothing is known of them

Seen: coldstart with all of 200 nodes restarted under their names, 300 schedulers with the list from before: 74 nodes pushed over, service 22.1 %; with half restarted 14. Each node's last second was written out as it fell: heavy jobs of several schedulers, 0 to 700 ms apart, each within its own pace. Two ways to it: who has only the saved list takes all for warm; who has a list but no rate sent 'one light job of all' by chance, and any job for a light one.

Change: coldstart.Turns. While a node may be cold and no rate is known, each third of a window at it (as many light jobs as it bears) belongs to one scheduler by the clock, its number and the node's name: one light job, in some turns a heavy one, more as it warms up. With more than four schedulers a saved list makes every node one that may be cold, until discovery's first answer; that first call waits for nothing (before, 'no change' was told after up to 55 s).

--- a/cmd/foxlift-lab/main.go
+++ b/cmd/foxlift-lab/main.go
@@ -188,5 +188,6 @@
 	cmd.Flags().DurationVar(&o.For, "for", o.For, "how long it is watched")
 	cmd.Flags().Float64Var(&o.Load, "load", o.Load, "jobs, against what the warm fleet can do")
 	cmd.Flags().Float64Var(&o.Replaced, "replaced", o.Replaced, "part of the nodes that the known list does not have")
+	cmd.Flags().Float64Var(&o.Restarted, "restarted", o.Restarted, "part that started again, cold, and that the known list takes for warm")
 	return cmd
 }
--- a/dispatcher.go
+++ b/dispatcher.go
@@ -13,6 +13,8 @@
 	"math"
 	"math/rand/v2"
 	"slices"
+
+	"github.com/vatu-meals/foxlift/internal/coldstart"
 )
 
 const second = int64(1e9)
@@ -77,10 +79,13 @@
 	starts   mean    // delay from sending to the start
 	prompt   mean    // the same, of those that found room
 	warmRate float64 // slots that each warm worker has at work for us
-	warmNow  float64 // the same, in the last seconds
+	warmNow  float64 // the same, lately
 	served   float64
 	listCall listCall
-	lists    int64 // number of list events
+	turns    coldstart.Turns // at workers that may be cold, of which no rate is known
+	light    float64         // the least aim: what a light job stands for there
+	unsure   int64           // since when all that is known of workers is a saved list; 0: more is
+	lists    int64           // number of list events
 }
 
 // Step takes the events since the last step and returns what to do. The time
@@ -209,13 +214,8 @@
 
 // mayRefuse says whether the client may be told that another try is harmless.
 func (d *Dispatcher) mayRefuse(j *job) bool {
-	switch j.class.Effect {
-	case AtMostOnce:
-		return j.mayRan == nil
-	case Deduplicated:
-		return j.mayRan == nil || j.class.Scope == ScopeAll
-	}
-	return true
+	return j.mayRan == nil || j.class.Effect == Idempotent ||
+		j.class.Effect == Deduplicated && j.class.Scope == ScopeAll
 }
 
 // giveUp gives the final answer of a job that will not be served.
@@ -226,9 +226,6 @@
 	if !d.mayRefuse(j) {
 		d.actions = append(d.actions, Action{Kind: ActionFail, ID: j.id})
 	} else {
-		if !d.cfg.MayRetryAfter {
-			retryAfter = 0
-		}
 		retryAfter = min(retryAfter, d.cfg.MaxRetryAfter)
 		d.actions = append(d.actions, Action{Kind: ActionRefuse, ID: j.id, RetryAfter: retryAfter})
 	}
@@ -466,7 +463,7 @@
 	d.refillRates()
 	warm := 0
 	for _, w := range d.list {
-		if w.state == Live && !d.young(w) {
+		if w.state == Live && !d.mayBeCold(w) {
 			warm++
 		}
 	}
@@ -888,8 +885,10 @@
 			return false
 		}
 	}
-	if w.trial && j.class.Effect == AtMostOnce && d.repeatable {
-		return false // a worker that failed is tried with jobs that can be moved
+	// A worker that failed is tried with jobs that can be moved.
+	if w.trial && j.class.Effect == AtMostOnce && d.repeatable ||
+		d.byTurns(w) && !d.bears(w, d.coldSize(j)) {
+		return false
 	}
 	for _, a := range j.attempts {
 		if a.worker == w {
@@ -978,8 +977,8 @@
 	w.idleAt = d.now
 	w.keep(a.job.req.Key)
 	d.inflight += a.slots
-	if d.young(w) {
-		w.coldFrom, w.coldWork = d.now, a.slots*float64(a.job.class.median)*(0.75+d.rng.Float64()/2)
+	if d.mayBeCold(w) {
+		w.coldFrom, w.coldWork = d.now, d.coldAfter(w, a)
 	}
 	d.place(w)
 }
@@ -1054,7 +1053,7 @@
 		}
 		w.slow += (min(float64(run)/float64(max(1, j.class.median)), 4) - w.slow) / 16
 		w.failing *= 0.8
-		if !d.young(w) {
+		if !d.mayBeCold(w) {
 			// Not what was sent: refused jobs are no measure of capacity.
 			d.served += a.slots * float64(run) / float64(second)
 		}
@@ -1134,10 +1133,8 @@
 // last, for our part of the work that it can do while it warms up, with some more. So all
 // dispatchers together send about what it can bear.
 func (d *Dispatcher) thawed(w *worker) bool {
-	if d.warmRate <= 0 {
-		// Nothing is known: one light job of all dispatchers in each window.
-		windows := float64(d.now-w.coldFrom) / float64(max(d.cfg.FallWindow, second))
-		return windows*float64(d.lightest()) >= w.coldWork*float64(d.cfg.Dispatchers)
+	if d.byTurns(w) {
+		return d.bears(w, d.light)
 	}
 	from, to := float64(max(w.coldFrom-w.up, 0)), float64(max(d.now-w.up, 0))
 	first, grown := d.cfg.StartCapacity, (to+from)/(2*float64(d.cfg.WarmAfter))
@@ -1145,6 +1142,18 @@
 	return d.warmRate*max(1, d.cfg.FallMultiple/2)*done >= w.coldWork
 }
 
+// bears reports whether a worker that may be cold may get so much work where no rate is known:
+// in its turn one light job, as it warms up more, in some turns a heavier one.
+func (d *Dispatcher) bears(w *worker, work float64) bool {
+	sent, turn := d.coldSent(w), d.turns.At(d.now)
+	most := d.light // in a turn
+	if d.unsure == 0 {
+		most *= d.warmth(w) / d.cfg.StartCapacity
+	}
+	return d.turns.Mine(turn, w.hash) &&
+		(sent+work <= most || sent == 0 && d.turns.Heavy(turn, w.hash, work/most))
+}
+
 // lightest is the median running time of the class that has the least.
 func (d *Dispatcher) lightest() int64 {
 	run := d.classes[0].median
@@ -1158,13 +1167,12 @@
 func (d *Dispatcher) place(w *worker) {
 	level := -1
 	if w.state == Live && w.overdue == 0 && d.now >= w.shut && w.own < max(1, w.cap) &&
-		!(w.trial && w.jobs > 0) && !(d.young(w) && !d.thawed(w)) {
+		!(w.trial && w.jobs > 0) && !(d.mayBeCold(w) && !d.thawed(w)) {
 		level = int(w.own)
 	}
-	if level == w.level {
-		return
+	if level != w.level {
+		d.moveTo(w, level)
 	}
-	d.moveTo(w, level)
 }
 
 const fullFleet = 0.8 // usual pressure at which asking finds no room and only adds work
@@ -1200,30 +1208,24 @@
 // ---- The list of workers ----
 
 func (d *Dispatcher) askForList() {
-	c := &d.listCall
-	if !d.cfg.ListOnRequest || c.joined || c.waiting || d.now < c.next {
-		return
+	if c := &d.listCall; d.cfg.ListOnRequest && !c.joined && !c.waiting && d.now >= c.next {
+		c.waiting = true
+		d.actions = append(d.actions, Action{Kind: ActionSubscribe})
 	}
-	c.waiting = true
-	d.actions = append(d.actions, Action{Kind: ActionSubscribe})
 }
 
 func (d *Dispatcher) onList(kind ListKind, entries []Worker) {
 	c := &d.listCall
-	switch kind {
-	case ListFailed:
-		// All dispatchers lose the list together: they back off and spread out,
-		// but never past the time at which not asking counts as knowing.
-		c.waiting, c.joined = false, false
+	c.joined, c.waiting = kind != ListFailed && (c.joined || c.waiting), false
+	if kind == ListFailed { // for all together: they spread out, within what counts as not asking
 		c.backoff = min(max(2*c.backoff, second/2), max(d.cfg.MustAskIn/2, second/2))
 		c.next = d.now + c.backoff/2 + d.rng.Int64N(c.backoff/2+1)
 		return
-	case ListChanges, ListFull:
-		if c.waiting {
-			c.waiting, c.joined, c.backoff = false, true, 0
-		}
 	}
-	d.lists++
+	c.backoff, d.lists = 0, d.lists+1
+	if d.unsure = 0; kind == ListSaved && d.many() {
+		d.unsure = d.now // workers may have started again since then
+	}
 	for i := range entries {
 		d.onWorker(&entries[i])
 	}
@@ -1269,8 +1271,8 @@
 	w.up, w.shut, w.backoff, w.trial, w.failing, w.slow = at, 0, 0, false, 0, 0
 	w.loaded, w.conns, w.since, w.keys, w.good, w.bad = false, 0, 0, nil, 0, 0
 	w.cap, w.capped = d.meanCap(), false
-	if d.young(w) {
-		w.coldFrom, w.coldWork = w.up, float64(d.lightest())*d.rng.Float64()
+	if d.mayBeCold(w) && d.coldSent(w) == 0 {
+		w.coldFrom, w.coldWork = d.up(w), float64(d.lightest())*d.rng.Float64()
 	}
 }
 
--- a/internal/platform/machines.go
+++ b/internal/platform/machines.go
@@ -20,6 +20,7 @@
 const (
 	waitLeast   = 10 * time.Second        // how long discovery may hold a watch,
 	waitMost    = 55 * time.Second        // (it allows 60 s)
+	firstWait   = time.Millisecond        // the first of them
 	waitEach    = time.Second             // and for each scheduler: so often all of them together ask anew
 	listLimit   = 4 * time.Second         // for the whole list: discovery gives up after 3 s
 	watchSlack  = 1500 * time.Millisecond // a watch's answer may come this much after its wait
@@ -43,6 +44,7 @@
 	entries  map[string]machine
 	version  int64
 	moved    bool // addr has changed since the last call
+	answered bool // a call has been answered since the start
 	whole    bool // the next call takes the whole list: no version is known that its changes could go on from
 	watching bool
 	conn     net.Conn // the watch's, while an answer is awaited
@@ -282,7 +284,7 @@
 	m.mu.Lock()
 	whole := m.whole
 	m.mu.Unlock()
-	wait := m.wait()
+	var wait time.Duration
 	var kind foxlift.ListKind
 	var news []foxlift.Worker
 	var told bool
@@ -290,9 +292,14 @@
 	defer func() { took = time.Since(began) }()
 	for began = time.Now(); ; began = time.Now() {
 		target, limit := pathMembers, m.listLimit()
+		if !m.answered {
+			wait = firstWait // that nothing has changed is news, too: the list is not old
+		} else {
+			wait = m.wait()
+		}
 		if !whole {
 			target = fmt.Sprintf("%s?%s=%d&%s=%d", pathMembers, queryIndex, m.version, queryWait, wait.Milliseconds())
-			limit = wait + watchSlack
+			limit = max(wait+watchSlack, limit)
 		}
 		err := c.send(target, limit)
 		// The core hears of an answer once the next call is out: nothing that
@@ -319,7 +326,7 @@
 			whole, told = true, false // discovery has lost count
 			continue
 		}
-		told = l.Whole || len(l.Hosts) > 0
+		told = l.Whole || len(l.Hosts) > 0 || !m.answered
 		if news, err = m.takeFrom(ctx, l); err != nil {
 			return 0, err
 		}
@@ -327,7 +334,7 @@
 		if l.Whole {
 			kind = foxlift.ListFull
 		}
-		whole = false
+		whole, m.answered = false, true
 		m.asker.After(coldstart.Answered, time.Since(began))
 	}
 }
--- a/internal/standin/discovery.go
+++ b/internal/standin/discovery.go
@@ -112,6 +112,16 @@
 	d.changed = make(chan struct{})
 }
 
+// GoBack gives the list a lower version, as a discovery does that has lost what it wrote last.
+func (d *Discovery) GoBack(version int) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.seq = version
+	for host, at := range d.at {
+		d.at[host] = min(at, version)
+	}
+}
+
 func (d *Discovery) handle(c net.Conn, r *http.Request, view string, dial func(host, addr string) string) bool {
 	q := r.URL.Query()
 	index, _ := strconv.Atoi(q.Get("index"))
--- a/state.go
+++ b/state.go
@@ -8,6 +8,8 @@
 	"math"
 	"math/rand/v2"
 	"slices"
+
+	"github.com/vatu-meals/foxlift/internal/coldstart"
 )
 
 // A job is a request that is held, in flight, or ended with attempts still out.
@@ -224,6 +226,39 @@
 	backoff int64
 }
 
+// up is when a worker started, or may have; 0: long ago.
+func (d *Dispatcher) up(w *worker) int64 { return max(w.up, d.unsure) }
+
+// mayBeCold reports whether a worker is still warming up, or may be for all that is known.
+func (d *Dispatcher) mayBeCold(w *worker) bool {
+	return d.up(w) != 0 && d.now-d.up(w) < d.cfg.WarmAfter
+}
+
+// byTurns reports whether a worker may be cold and no rate is known for it.
+func (d *Dispatcher) byTurns(w *worker) bool {
+	return (d.warmRate <= 0 || d.unsure != 0) && d.mayBeCold(w)
+}
+
+// coldSent is the work that a young worker has been sent in this window, where no rate is known.
+func (d *Dispatcher) coldSent(w *worker) float64 {
+	if !d.byTurns(w) || d.turns.At(w.coldFrom) != d.turns.At(d.now) {
+		return 0
+	}
+	return w.coldWork
+}
+
+// coldSize is what a job counts for at such a worker. By its aim: running times are long where
+// it is cold. Aims tell little of how much heavier one is than another, so the rest counts twice.
+func (d *Dispatcher) coldSize(j *job) float64 { return 2*j.req.Slots*float64(j.class.Aim) - d.light }
+
+// coldAfter is what a young worker has been sent with this attempt, until it has had time for it.
+func (d *Dispatcher) coldAfter(w *worker, a *attempt) float64 {
+	if !d.byTurns(w) {
+		return a.slots * float64(a.job.class.median) * (0.75 + d.rng.Float64()/2)
+	}
+	return d.coldSent(w) + d.coldSize(a.job)
+}
+
 // setState notes what the list says of a worker.
 func (w *worker) setState(s WorkerState, now int64) {
 	w.lost = w.lost || w.state == Live && s == Gone
@@ -261,6 +296,9 @@
 		jobs: map[uint64]*job{}, workers: map[string]*worker{}, open: true, copies: maxCopies,
 		peers: make([]peer, cfg.Dispatchers),
 	}
+	if !cfg.MayRetryAfter {
+		d.cfg.MaxRetryAfter = 0
+	}
 	aim, kinds := int64(math.MaxInt64), 0
 	for i := range cfg.Classes {
 		c := &cfg.Classes[i]
@@ -271,6 +309,9 @@
 	d.tick = max(aim/8, int64(1e6))
 	d.room = make([][][]*worker, kinds+1)
 	d.crowd = max(1, float64(cfg.Dispatchers)/few)
+	bears := cfg.FallMultiple * cfg.StartCapacity * d.meanCap() // slots, of a worker that has just started
+	d.light = float64(aim)
+	d.turns = coldstart.NewTurns(cfg.FallWindow, cfg.Dispatchers, cfg.Index, bears*float64(cfg.FallWindow)/d.light)
 	d.initTenants()
 	return d, nil
 }
