Before the first list only heavy jobs go by turns to nodes that may be cold

Readings can be held 0.25 s, a scheduler's own turns come every 0.5 s on average at 300, and its list after 0.9 s: the readings of that time were refused. Jobs that may wait for longer, which are the heavy ones, lose nothing by it.

Change: bears lets one light job a turn through while all that is known is a saved list. Heavy ones push nodes over (each fall that was written out had two of them), and wait for their turn.

So the sum is bounded for heavy jobs, not for light ones, in the seconds before the list.

--- a/dispatcher.go
+++ b/dispatcher.go
@@ -1129,9 +1129,8 @@
 	return d.cfg.StartCapacity + (1-d.cfg.StartCapacity)*min(max(age, 0), 1)
 }
 
-// thawed reports whether a young worker may get our next job: it has had time, since our
-// last, for our part of the work that it can do while it warms up, with some more. So all
-// dispatchers together send about what it can bear.
+// thawed reports whether a young worker may get our next job: it has had time, since our last,
+// for our part of what it can do while it warms up, and more: all send about what it bears.
 func (d *Dispatcher) thawed(w *worker) bool {
 	if d.byTurns(w) {
 		return d.bears(w, d.light)
@@ -1150,7 +1149,8 @@
 	if d.unsure == 0 {
 		most *= d.warmth(w) / d.cfg.StartCapacity
 	}
-	return d.turns.Mine(turn, w.hash) &&
+	free := d.unsure != 0 && sent == 0 && work <= d.light // it is warm more often than not
+	return free || d.turns.Mine(turn, w.hash) &&
 		(sent+work <= most || sent == 0 && d.turns.Heavy(turn, w.hash, work/most))
 }
 
