--- /dev/null
+++ b/workers.go
@@ -0,0 +1,169 @@
+package foxlift
+
+// What is known of workers, and where they stand. Nothing is decided here: what counts
+// as cold, and for how much, serves the choices in dispatcher.go.
+
+import "slices"
+
+// A worker is what this dispatcher knows of one.
+type worker struct {
+	id               string
+	zone, kind, cell int
+	state            WorkerState
+	listed           int64 // number of the last list event that named it
+	lost             bool  // went without a drain, and is not back and warm
+	went             int64 // when the list last named it otherwise than gone
+	up               int64 // when it started; 0: long ago
+	hash             uint64
+
+	own        float64 // slots of our jobs there, and of the host's others
+	others     float64 // of these, what others sent
+	jobs       int
+	cap        float64 // most of our slots that it takes without delay
+	capped     bool    // cap was learned from its own answers
+	level, pos int     // place in Dispatcher.room; level -1: gets nothing now
+	overdue    int     // jobs that it should have started
+	shut       int64   // gets nothing before this
+	backoff    int64
+	fulls      int     // refusals in a row
+	trial      bool    // one job only, until it answers
+	good       int64   // when it last started one of our jobs at once,
+	bad        int64   // and when it last had no room for one, or failed it
+	failing    float64 // share of late attempts that failed
+	coldFrom   int64   // a young worker's last send,
+	coldWork   float64 // and the work that it must have had time for before the next
+	slow       float64 // its running times over the class medians
+	load       [MaxGauges]float64
+	loaded     bool
+	since      float64 // slots sent since the load report
+	loadAt     int64
+	conns      int      // connections thought open
+	idleAt     int64    // last use of a connection
+	keys       []uint64 // of our last jobs there, the newest first
+}
+
+// moveTo puts a worker into another of the room lists, or, for a negative level,
+// in none.
+func (d *Dispatcher) moveTo(w *worker, level int) {
+	k := w.kind + 1
+	if k >= len(d.room) {
+		k = 0
+	}
+	if w.level >= 0 {
+		ws := d.room[k][w.level]
+		last := ws[len(ws)-1]
+		ws[w.pos] = last
+		last.pos = w.pos
+		d.room[k][w.level] = ws[:len(ws)-1]
+	}
+	w.level = level
+	if level >= 0 {
+		for len(d.room[k]) <= level {
+			d.room[k] = append(d.room[k], nil)
+		}
+		d.levels = max(d.levels, level+1)
+		w.pos = len(d.room[k][level])
+		d.room[k][level] = append(d.room[k][level], w)
+	}
+}
+
+// roomAt returns the workers of one level, and of one kind if it is not negative. They are
+// valid until the next call, and until a worker moves.
+func (d *Dispatcher) roomAt(kind, level int) []*worker {
+	at := func(k int) []*worker {
+		if level >= len(d.room[k]) {
+			return nil
+		}
+		return d.room[k][level]
+	}
+	if kind >= 0 || len(d.room) == 1 {
+		return at(kind + 1)
+	}
+	d.joined = d.joined[:0]
+	for k := range d.room {
+		d.joined = append(d.joined, at(k)...)
+	}
+	return d.joined
+}
+
+// collectLive collects the live workers.
+func (d *Dispatcher) collectLive() {
+	d.live = d.live[:0]
+	for _, w := range d.list {
+		if w.state == Live {
+			d.live = append(d.live, w)
+		}
+	}
+}
+
+// up is when a worker started, or may have; 0: long ago.
+func (d *Dispatcher) up(w *worker) int64 { return max(w.up, d.unsure) }
+
+// mayBeCold reports whether a worker is still warming up, or may be for all that is known.
+func (d *Dispatcher) mayBeCold(w *worker) bool {
+	return d.up(w) != 0 && d.now-d.up(w) < d.cfg.WarmAfter
+}
+
+// byTurns reports whether a worker may be cold and no rate is known for it.
+func (d *Dispatcher) byTurns(w *worker) bool {
+	return (d.warmRate <= 0 || d.unsure != 0) && d.mayBeCold(w)
+}
+
+// coldSent is the work that a young worker has been sent in this window, where no rate is known.
+func (d *Dispatcher) coldSent(w *worker) float64 {
+	if !d.byTurns(w) || d.turns.At(w.coldFrom) != d.turns.At(d.now) {
+		return 0
+	}
+	return w.coldWork
+}
+
+// coldSize is what a job counts for at such a worker. By its aim: running times are long where
+// it is cold. Aims tell little of how much heavier one is than another, so the rest counts twice.
+func (d *Dispatcher) coldSize(j *job) float64 { return 2*j.req.Slots*float64(j.class.Aim) - d.light }
+
+// coldAfter is what a young worker has been sent with this attempt, until it has had time for it.
+func (d *Dispatcher) coldAfter(w *worker, a *attempt) float64 {
+	if !d.byTurns(w) {
+		return a.slots * float64(a.job.class.median) * (0.75 + d.rng.Float64()/2)
+	}
+	return d.coldSent(w) + d.coldSize(a.job)
+}
+
+// setState notes what the list says of a worker.
+func (w *worker) setState(s WorkerState, now int64) {
+	w.lost = w.lost || w.state == Live && s == Gone
+	if w.state != Gone {
+		w.went = now
+	}
+	w.state = s
+}
+
+// forgetGone drops the workers that have been gone since before a time, once nothing is
+// counted there: a fleet that replaces its workers for months must not cost more by the day.
+func (d *Dispatcher) forgetGone(before int64) {
+	d.list = slices.DeleteFunc(d.list, func(w *worker) bool {
+		if w.state != Gone || w.went >= before || w.jobs > 0 || w.others != 0 {
+			return false
+		}
+		delete(d.workers, w.id)
+		for i, f := range d.fresh {
+			if f == w {
+				d.fresh[i] = nil
+			}
+		}
+		return true
+	})
+}
+
+// report keeps a worker's load report.
+func (d *Dispatcher) report(w *worker, e *Event) {
+	w.load, w.loaded, w.since, w.loadAt = e.Load, true, 0, d.now
+	d.usual.add(d.reported(w, 1))
+	d.heard(w)
+}
+
+// heard makes a worker the last that was heard of: pick looks at it whatever it samples.
+func (d *Dispatcher) heard(w *worker) {
+	d.fresh[d.freshAt] = w
+	d.freshAt = (d.freshAt + 1) % len(d.fresh)
+}
