--- a/internal/coldstart/asker_test.go
+++ b/internal/coldstart/asker_test.go
@@ -56,8 +56,7 @@
 	seconds := map[time.Duration]int{}
 	var queue []func(now time.Duration)
 	busy, answered := false, 0
-	var serve func(now time.Duration)
-	serve = func(now time.Duration) {
+	serve := func(now time.Duration) {
 		if !busy && len(queue) > 0 {
 			next := queue[0]
 			queue = queue[1:]
