--- a/dispatcher.go
+++ b/dispatcher.go
@@ -1223,9 +1223,7 @@
 		return
 	}
 	c.backoff, d.lists = 0, d.lists+1
-	if d.unsure = 0; kind == ListSaved && d.many() {
-		d.unsure = d.now // workers may have started again since then
-	}
+	d.unsure = 0 // a saved list is believed: in doubt, heavy jobs starve where discovery answers late
 	for i := range entries {
 		d.onWorker(&entries[i])
 	}
