--- a/dispatcher.go
+++ b/dispatcher.go
@@ -82,9 +82,8 @@
 	warmNow  float64 // the same, lately
 	served   float64
 	listCall listCall
-	turns    coldstart.Turns // at workers that may be cold, of which no rate is known
+	turns    coldstart.Turns // at young workers, where no rate is known
 	light    float64         // the least aim: what a light job stands for there
-	unsure   int64           // since when all that is known of workers is a saved list; 0: more is
 	lists    int64           // number of list events
 }
 
@@ -463,7 +462,7 @@
 	d.refillRates()
 	warm := 0
 	for _, w := range d.list {
-		if w.state == Live && !d.mayBeCold(w) {
+		if w.state == Live && !d.young(w) {
 			warm++
 		}
 	}
@@ -885,9 +884,10 @@
 			return false
 		}
 	}
-	// A worker that failed is tried with jobs that can be moved.
-	if w.trial && j.class.Effect == AtMostOnce && d.repeatable ||
-		d.byTurns(w) && !d.bears(w, d.coldSize(j)) {
+	if w.trial && j.class.Effect == AtMostOnce && d.repeatable {
+		return false // a worker that failed is tried with jobs that can be moved
+	}
+	if d.byTurns(w) && !d.bears(w, d.coldSize(j)) {
 		return false
 	}
 	for _, a := range j.attempts {
@@ -977,7 +977,7 @@
 	w.idleAt = d.now
 	w.keep(a.job.req.Key)
 	d.inflight += a.slots
-	if d.mayBeCold(w) {
+	if d.young(w) {
 		w.coldFrom, w.coldWork = d.now, d.coldAfter(w, a)
 	}
 	d.place(w)
@@ -1053,7 +1053,7 @@
 		}
 		w.slow += (min(float64(run)/float64(max(1, j.class.median)), 4) - w.slow) / 16
 		w.failing *= 0.8
-		if !d.mayBeCold(w) {
+		if !d.young(w) {
 			// Not what was sent: refused jobs are no measure of capacity.
 			d.served += a.slots * float64(run) / float64(second)
 		}
@@ -1141,16 +1141,15 @@
 	return d.warmRate*max(1, d.cfg.FallMultiple/2)*done >= w.coldWork
 }
 
-// bears reports whether a worker that may be cold may get so much work where no rate is known:
-// in its turn one light job, as it warms up more, in some turns a heavier one.
+// byTurns reports whether a worker is still warming up and no rate is known for it.
+func (d *Dispatcher) byTurns(w *worker) bool { return d.warmRate <= 0 && d.young(w) }
+
+// bears reports whether a young worker may get so much work where no rate is known: in its
+// turn one light job, as it warms up more, in some turns a heavier one.
 func (d *Dispatcher) bears(w *worker, work float64) bool {
 	sent, turn := d.coldSent(w), d.turns.At(d.now)
-	most := d.light // in a turn
-	if d.unsure == 0 {
-		most *= d.warmth(w) / d.cfg.StartCapacity
-	}
-	free := d.unsure != 0 && sent == 0 && work <= d.light // it is warm more often than not
-	return free || d.turns.Mine(turn, w.hash) &&
+	most := d.light * d.warmth(w) / d.cfg.StartCapacity // in a turn
+	return d.turns.Mine(turn, w.hash) &&
 		(sent+work <= most || sent == 0 && d.turns.Heavy(turn, w.hash, work/most))
 }
 
@@ -1167,7 +1166,7 @@
 func (d *Dispatcher) place(w *worker) {
 	level := -1
 	if w.state == Live && w.overdue == 0 && d.now >= w.shut && w.own < max(1, w.cap) &&
-		!(w.trial && w.jobs > 0) && !(d.mayBeCold(w) && !d.thawed(w)) {
+		!(w.trial && w.jobs > 0) && !(d.young(w) && !d.thawed(w)) {
 		level = int(w.own)
 	}
 	if level != w.level {
@@ -1222,8 +1221,8 @@
 		c.next = d.now + c.backoff/2 + d.rng.Int64N(c.backoff/2+1)
 		return
 	}
-	c.backoff, d.lists = 0, d.lists+1
-	d.unsure = 0 // a saved list is believed: in doubt, heavy jobs starve where discovery answers late
+	c.backoff = 0
+	d.lists++
 	for i := range entries {
 		d.onWorker(&entries[i])
 	}
@@ -1269,8 +1268,8 @@
 	w.up, w.shut, w.backoff, w.trial, w.failing, w.slow = at, 0, 0, false, 0, 0
 	w.loaded, w.conns, w.since, w.keys, w.good, w.bad = false, 0, 0, nil, 0, 0
 	w.cap, w.capped = d.meanCap(), false
-	if d.mayBeCold(w) && d.coldSent(w) == 0 {
-		w.coldFrom, w.coldWork = d.up(w), float64(d.lightest())*d.rng.Float64()
+	if d.young(w) && d.coldSent(w) == 0 {
+		w.coldFrom, w.coldWork = w.up, float64(d.lightest())*d.rng.Float64()
 	}
 }
 
--- a/internal/platform/machines.go
+++ b/internal/platform/machines.go
@@ -284,7 +284,6 @@
 	m.mu.Lock()
 	whole := m.whole
 	m.mu.Unlock()
-	var wait time.Duration
 	var kind foxlift.ListKind
 	var news []foxlift.Worker
 	var told bool
@@ -292,12 +291,11 @@
 	defer func() { took = time.Since(began) }()
 	for began = time.Now(); ; began = time.Now() {
 		target, limit := pathMembers, m.listLimit()
-		if !m.answered {
-			wait = firstWait // that nothing has changed is news, too: the list is not old
-		} else {
-			wait = m.wait()
-		}
 		if !whole {
+			wait := m.wait()
+			if !m.answered {
+				wait = firstWait // a discovery that is silent is known to be so soon after the start
+			}
 			target = fmt.Sprintf("%s?%s=%d&%s=%d", pathMembers, queryIndex, m.version, queryWait, wait.Milliseconds())
 			limit = max(wait+watchSlack, limit)
 		}
--- a/workers.go
+++ b/workers.go
@@ -1,7 +1,6 @@
 package foxlift
 
-// What is known of workers, and where they stand. Nothing is decided here: what counts
-// as cold, and for how much, serves the choices in dispatcher.go.
+// What is known of workers, and where they stand. Nothing is decided here.
 
 import "slices"
 
@@ -96,19 +95,6 @@
 	}
 }
 
-// up is when a worker started, or may have; 0: long ago.
-func (d *Dispatcher) up(w *worker) int64 { return max(w.up, d.unsure) }
-
-// mayBeCold reports whether a worker is still warming up, or may be for all that is known.
-func (d *Dispatcher) mayBeCold(w *worker) bool {
-	return d.up(w) != 0 && d.now-d.up(w) < d.cfg.WarmAfter
-}
-
-// byTurns reports whether a worker may be cold and no rate is known for it.
-func (d *Dispatcher) byTurns(w *worker) bool {
-	return (d.warmRate <= 0 || d.unsure != 0) && d.mayBeCold(w)
-}
-
 // coldSent is the work that a young worker has been sent in this window, where no rate is known.
 func (d *Dispatcher) coldSent(w *worker) float64 {
 	if !d.byTurns(w) || d.turns.At(w.coldFrom) != d.turns.At(d.now) {
