--- a/api.go
+++ b/api.go
@@ -261,6 +261,7 @@
 	Reset
 	Cancelled
 	NotSent
+	Blamed // the worker says that the request is at fault; it may have run all the same
 )
 
 // NeverRan reports whether the code proves that the job did not run.
--- a/dispatcher.go
+++ b/dispatcher.go
@@ -323,7 +323,7 @@
 		return // another attempt may still serve it
 	}
 	closed := j.class.Effect == AtMostOnce && j.mayRan != nil
-	if d.attemptsLeft(j) <= 0 || closed || d.now+d.tick >= j.req.Deadline {
+	if d.attemptsLeft(j) <= 0 || closed || c == Blamed || d.now+d.tick >= j.req.Deadline {
 		d.giveUp(j, 0)
 		return
 	}
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -31,6 +31,14 @@
 	Sockets   int             // file descriptors
 	Known     json.RawMessage // the machine list as last known, in discovery's form; may be empty
 	Settings  *Settings
+	Peers     Peers // the zero value where schedulers do not speak with each other
+}
+
+// Peers are the addresses by which schedulers send each other datagrams.
+type Peers struct {
+	Listen string   // where this one receives; "": it does not speak with others
+	Each   []string // of every scheduler by its number, this one's included
+	All    string   // reaches all others at once; "": there is no such address
 }
 
 type file struct {
@@ -42,6 +50,10 @@
 		MemoryMB float64 `json:"memory_mb"`
 		Sockets  int     `json:"sockets"`
 	} `json:"limits"`
+	PeerListen string   `json:"peer_listen"`
+	Peers      []string `json:"peers"`
+	PeersAll   string   `json:"peers_all"`
+
 	Known    json.RawMessage `json:"known"`
 	Settings json.RawMessage `json:"settings"`
 }
@@ -105,9 +117,35 @@
 	if err != nil {
 		return nil, fmt.Errorf("settings.%w", err)
 	}
-	// The platform's protocol has no messages between schedulers.
-	s.Settings.Module.MayMessage = false
-	return s, nil
+	return s, s.setPeers(f.PeerListen, f.Peers, f.PeersAll)
+}
+
+// setPeers takes the peers' addresses where the settings allow messages and there is
+// somebody to send them to. Elsewhere nothing is opened for them.
+func (s *Scheduler) setPeers(listen string, each []string, all string) error {
+	c := &s.Settings.Module
+	c.MayMessage = c.MayMessage && listen != "" && c.Dispatchers > 1
+	if !c.MayMessage {
+		return nil
+	}
+	if err := checkAddress("peer_listen", listen, 0); err != nil {
+		return err
+	}
+	if len(each) != c.Dispatchers {
+		return fmt.Errorf("peers: %d addresses for settings.balancers %d", len(each), c.Dispatchers)
+	}
+	for i, addr := range each {
+		if err := checkAddress(fmt.Sprintf("peers[%d]", i), addr, 1); err != nil {
+			return err
+		}
+	}
+	if all != "" {
+		if err := checkAddress("peers_all", all, 1); err != nil {
+			return err
+		}
+	}
+	s.Peers = Peers{listen, each, all}
+	return nil
 }
 
 // limit applies a default and the most that a scheduler may use.
--- a/internal/core/book.go
+++ b/internal/core/book.go
@@ -11,7 +11,7 @@
 
 var codeCounters = [...]string{
 	foxlift.Served: "claims.served", foxlift.Erred: "claims.erred", foxlift.Full: "claims.turned_away",
-	foxlift.TimedOut: "claims.timed_out", foxlift.Unreachable: "claims.unreachable",
+	foxlift.Blamed: "claims.blamed", foxlift.TimedOut: "claims.timed_out", foxlift.Unreachable: "claims.unreachable",
 	foxlift.Reset: "claims.reset", foxlift.Cancelled: "claims.cancelled", foxlift.NotSent: "claims.not_sent",
 }
 
--- a/internal/core/cell.go
+++ b/internal/core/cell.go
@@ -118,6 +118,7 @@
 func (c *Core) newCell(name string, tenants []foxlift.Tenant) (*cell, error) {
 	cfg := c.settings.Module
 	cfg.Tenants = tenants
+	cfg.MayMessage = cfg.MayMessage && name == "" // what one cell admits says nothing to another's peers
 	seed := c.seed
 	for _, b := range []byte(name) {
 		seed = (seed ^ uint64(b)) * 0x100000001b3 // FNV-1a, so that cells do not move in step
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -41,6 +41,13 @@
 	Watch()
 }
 
+// Peers reaches the other schedulers.
+type Peers interface {
+	// Tell sends a message to one of them by its number, or to all with -1. It is called
+	// on the core's goroutine and must not block; the message may be lost.
+	Tell(to int, data []byte)
+}
+
 // A Report is what a claim or a probe has to tell.
 type Report struct {
 	Progress bool // the job makes progress (neither Progress nor Ended: it started)
@@ -61,6 +68,7 @@
 	counters *counters.Set
 	nodes    Nodes
 	machines MachineList
+	peers    Peers // nil where there are no messages
 	seed     uint64
 
 	inbox   chan event
@@ -125,6 +133,10 @@
 	}
 }
 
+// ConnectPeers sets through whom the module's messages go. It is called before Start, and
+// only where the settings allow messages.
+func (c *Core) ConnectPeers(p Peers) { c.peers = p }
+
 // Start begins with the machine list as last known and starts the core's
 // goroutine, which ends after Stop.
 func (c *Core) Start(known []foxlift.Worker) {
@@ -199,6 +211,20 @@
 
 func (e ending) apply(c *Core) { c.endBy = e.by }
 
+// Heard brings a message from another scheduler.
+func (c *Core) Heard(from int, data []byte) { c.post(peerTold{from, data}) }
+
+type peerTold struct {
+	from int
+	data []byte
+}
+
+func (e peerTold) apply(c *Core) {
+	if c.scheme.Load() == nil { // a cell's module knows of no peers
+		c.cells[0].tell(foxlift.Event{Kind: foxlift.EventMessage, From: e.from, Data: e.data})
+	}
+}
+
 // Machines brings news of the machine list.
 func (c *Core) Machines(kind foxlift.ListKind, entries []foxlift.Worker) {
 	c.post(machinesTold{kind, entries})
--- a/internal/core/job.go
+++ b/internal/core/job.go
@@ -17,6 +17,7 @@
 	Slots     float64
 	Memory    float64
 	Repeat    bool // the submitter says that it tried before
+	Keyed     bool // it carries the key by which nodes know a repeat
 	Payload   any  // for Nodes; the core does not look at it
 	Submitter Submitter
 
--- a/internal/core/route.go
+++ b/internal/core/route.go
@@ -74,6 +74,10 @@
 		c.nodes.Probe(node, func(r Report) { c.post(nodeProbed{cl, node, sent, r}) })
 	case foxlift.ActionClose:
 		c.nodes.CloseIdle(a.Worker)
+	case foxlift.ActionMessage:
+		if c.peers != nil {
+			c.peers.Tell(a.To, a.Data)
+		}
 	case foxlift.ActionSubscribe:
 		c.machines.Watch()
 	}
--- a/internal/core/takein.go
+++ b/internal/core/takein.go
@@ -1,6 +1,10 @@
 package core
 
-import "time"
+import (
+	"time"
+
+	"github.com/vatu-meals/foxlift"
+)
 
 // Stage 1, take in: a job that a front has read is checked against what holds
 // for any front and gets its place in the table. What does not pass is answered
@@ -47,6 +51,9 @@
 	if !ok {
 		return 0, 0, "unknown class"
 	}
+	if c.settings.Module.Classes[class].Effect == foxlift.Deduplicated && !j.Keyed {
+		return 0, 0, "no key, which its class needs"
+	}
 	tenant = -1
 	if len(c.settings.Tenants) > 0 {
 		if tenant, ok = c.settings.Tenants[j.Tenant]; !ok {
--- a/internal/platform/attempt.go
+++ b/internal/platform/attempt.go
@@ -84,9 +84,14 @@
 	}
 	if resp.StatusCode != http.StatusOK {
 		_, err := io.Copy(io.Discard, resp.Body)
-		return ended(statusCode(resp)), err == nil && !resp.Close && m.Buffered() == 0
+		r := ended(statusCode(resp))
+		r.Load, r.HasLoad = a.nodes.loads.header(resp.Header[headerLoad])
+		return r, err == nil && !resp.Close && m.Buffered() == 0
 	}
 	r, err = a.readStates(resp.Body)
+	if load, ok := a.nodes.loads.header(resp.Header[headerLoad]); ok && !r.HasLoad {
+		r.Load, r.HasLoad = load, ok
+	}
 	return r, err == nil && !resp.Close && m.Buffered() == 0
 }
 
@@ -174,7 +179,7 @@
 func (a *attempt) request() []byte {
 	p := a.job.Payload.(*payload)
 	b := fmt.Appendf(nil, "%s %s HTTP/1.1\r\nHost: %s\r\n", p.method, p.target, a.node)
-	for _, h := range []string{headerID, headerClass, headerTenant, headerLabels, "Content-Type"} {
+	for _, h := range []string{headerID, headerKey, headerClass, headerTenant, headerLabels, "Content-Type"} {
 		if v := p.header.Get(h); v != "" {
 			b = fmt.Appendf(b, "%s: %s\r\n", h, v)
 		}
@@ -188,8 +193,11 @@
 // that the job never ran: any other 503 may come from anywhere.
 func statusCode(resp *http.Response) foxlift.Code {
 	turned := resp.StatusCode == http.StatusServiceUnavailable || resp.StatusCode == http.StatusGatewayTimeout
-	if turned && resp.Header.Get(headerTurnedAway) == "1" {
+	switch {
+	case turned && resp.Header.Get(headerTurnedAway) == "1":
 		return foxlift.Full
+	case resp.StatusCode >= 400 && resp.StatusCode < 500:
+		return foxlift.Blamed
 	}
 	return foxlift.Erred
 }
@@ -199,6 +207,8 @@
 	ID     string `json:"id"`
 	State  string `json:"state"`
 	Result string `json:"result"`
+
+	Load json.RawMessage `json:"load"`
 }
 
 // parseNote reads a line. One that says a thing twice is garbled: encoding/json would
@@ -250,7 +260,7 @@
 		}
 	}
 	lower := bytes.ToLower(line)
-	for _, name := range []string{`"id"`, `"state"`, `"result"`} {
+	for _, name := range []string{`"id"`, `"state"`, `"result"`, `"load"`} {
 		if bytes.Count(lower, []byte(name)) > 1 {
 			return true
 		}
@@ -288,6 +298,7 @@
 			if code == foxlift.Served {
 				last.Result = []byte(n.Result)
 			}
+			last.Load, last.HasLoad = a.nodes.loads.object(n.Load)
 		case n.State == stateStarted:
 			a.report(core.Report{})
 		case n.State == stateRunning:
--- a/internal/platform/fuzz_test.go
+++ b/internal/platform/fuzz_test.go
@@ -216,7 +216,7 @@
 		conn := &memConn{parts: parts}
 		c := &nodeConn{Conn: conn, buf: buffer{conn: conn}}
 		notes := 0
-		a := &attempt{job: &core.Job{ID: "j"}, report: func(r core.Report) {
+		a := &attempt{nodes: &nodes{}, job: &core.Job{ID: "j"}, report: func(r core.Report) {
 			if r.Ended {
 				t.Fatalf("%q: an end among the notes", data)
 			}
@@ -414,13 +414,25 @@
 	if isToken(s) && strings.ContainsAny(s, " \r\n\x00\x7f") {
 		t.Fatalf("%q is a token", s)
 	}
-	parseLoad(s, []string{"a", "b"})
+	for _, parse := range []func(string, []string) (load, error){
+		parseLoad, func(s string, names []string) (load, error) { return parseLoadObject([]byte(s), names) },
+	} {
+		if l, err := parse(s, []string{"a", "b"}); err == nil {
+			for _, x := range l {
+				if !(x >= 0 && x <= maxGauge) {
+					t.Fatalf("%q: %v", s, l)
+				}
+			}
+		}
+	}
+	seen := peerSeen{}
+	seen.open(1e18, data)
 	config.ParseKey(data)
 }
 
 func valueSeeds() (seeds [][]byte) {
 	for _, s := range []string{"480m", "480000u", "1e400m", "0x10m", "-1m", ".m", "1.5m", "99999999999999999999m", "NaNm", "m", "", "slots=1,memory=0.5",
-		"slots=1e400", "slots=-1", "slots=Inf", "slots", "a=1,b=2", "7f3a9c21e0b4d655"} {
+		"slots=1e400", "slots=-1", "slots=Inf", "slots", "a=1,b=2", `{"a":1,"b":2}`, "7f3a9c21e0b4d655"} {
 		seeds = append(seeds, []byte(s))
 	}
 	return seeds
@@ -455,7 +467,7 @@
 	for _, data := range answerSeeds() {
 		outcome := func(parts [][]byte) string {
 			conn := &memConn{parts: parts}
-			a := &attempt{job: &core.Job{ID: "j"}, report: func(core.Report) {}}
+			a := &attempt{nodes: &nodes{}, job: &core.Job{ID: "j"}, report: func(core.Report) {}}
 			r, _ := a.receive(&nodeConn{Conn: conn, buf: buffer{conn: conn}})
 			return fmt.Sprint(r.Code, string(r.Result))
 		}
--- a/internal/platform/names.go
+++ b/internal/platform/names.go
@@ -11,6 +11,8 @@
 	headerRemaining  = "X-Remaining"
 	headerRepeat     = "X-Resent"
 	headerLabels     = "X-Labels"
+	headerKey        = "Idempotency-Key"
+	headerLoad       = "X-Pressure"
 	headerTurnedAway = "X-Turned-Away"
 	headerRetryAfter = "Retry-After"
 
@@ -42,5 +44,6 @@
 const (
 	maxBody     = 64 << 10
 	maxHead     = 16 << 10
+	maxKey      = 255                 // bytes of an idempotency key
 	maxResponse = maxHead + 2*maxBody // a whole answer of an execute node or of discovery, framing included
 )
--- a/internal/platform/nodes.go
+++ b/internal/platform/nodes.go
@@ -28,8 +28,7 @@
 	counters  *counters.Set
 	connect   time.Duration // most that a dial may take
 	idleLimit time.Duration // after which an idle connection is dropped
-	withLoad  bool          // probes ask for the load report
-	loadNames []string
+	loads     loads
 	budget    int
 
 	repeatable map[string]bool // classes whose jobs may run twice
@@ -52,7 +51,7 @@
 func newNodes(list *machines, s *config.Settings, set *counters.Set, budget int) *nodes {
 	n := &nodes{
 		find: list.find, counters: set, connect: defaultConnect, idleLimit: defaultIdle, budget: budget,
-		withLoad: len(s.GaugeNames) > 0, loadNames: s.GaugeNames, idle: map[string][]*nodeConn{},
+		loads: loads{s.GaugeNames, set}, idle: map[string][]*nodeConn{},
 		repeatable: map[string]bool{},
 	}
 	for _, k := range s.Module.Classes {
--- a/internal/platform/parse.go
+++ b/internal/platform/parse.go
@@ -106,6 +106,10 @@
 			return nil, bad(http.StatusBadRequest, "head", "%s is there more than once", name)
 		}
 	}
+	keys := req.Header[headerKey]
+	if len(keys) > 1 || len(keys) == 1 && (!isToken(keys[0]) || len(keys[0]) > maxKey) {
+		return nil, bad(http.StatusBadRequest, "key", "%s must be there once, in up to %d printable characters", headerKey, maxKey)
+	}
 	class := req.Header.Get(headerClass)
 	// The target goes to the node as it came: it must say the same there.
 	path, _, _ := strings.Cut(req.RequestURI, "?")
@@ -123,7 +127,7 @@
 	return &core.Job{
 		ID: req.Header.Get(headerID), Class: class, Tenant: req.Header.Get(headerTenant), Remaining: remaining,
 		Key: config.ParseKey([]byte(req.URL.Query().Get(queryKey))), Slots: slots, Memory: memory,
-		Repeat:  req.Header.Get(headerRepeat) == "1",
+		Repeat: req.Header.Get(headerRepeat) == "1", Keyed: len(keys) > 0,
 		Payload: &payload{method: req.Method, target: req.RequestURI, header: req.Header, body: body},
 	}, nil
 }
--- a/internal/platform/parse_test.go
+++ b/internal/platform/parse_test.go
@@ -61,12 +61,22 @@
 
 func TestParseLoad(t *testing.T) {
 	names := []string{"backlog", "x0"}
-	if l, ok := parseLoad("x0=2.5, backlog=4,novel=1\n", names); !ok || l[0] != 4 || l[1] != 2.5 {
-		t.Errorf("%v, %v", l, ok)
-	}
-	for _, bad := range []string{"", "backlog=4", "backlog=4,x0=much"} {
-		if _, ok := parseLoad(bad, names); ok {
-			t.Errorf("%q passed", bad)
+	for text, good := range map[string]bool{
+		"x0=2.5, backlog=4,novel=1\n": true, "x0=2.5,backlog=4,novel=NaN,novel=2": true,
+		"": false, "backlog=4": false, "backlog=4,x0=much": false, "backlog=4,x0=2.5,x0=2.5": false,
+		"backlog=NaN,x0=2.5": false, "backlog=-1,x0=2.5": false, "backlog=4,x0=1e10": false, "backlog=Inf,x0=1": false,
+		`{"x0":2.5,"backlog":4,"novel":{"a":[1]},"novel":-1}`: true,
+		`{"x0":2.5,"backlog":4,"x0":2.5}`:                     false, `{"x0":2.5}`: false, `{"x0":"2.5","backlog":4}`: false,
+		`{"x0":-2.5,"backlog":4}`: false, `{"x0":1e300,"backlog":4}`: false, `{"x0":null,"backlog":4}`: false,
+		`{"x0":2.5,"backlog":4`: false, `{"x0":2.5,"backlog":4}1`: false, `[2.5,4]`: false,
+	} {
+		parse := parseLoad
+		if text != "" && text[0] != 'x' && text[0] != 'b' {
+			parse = func(s string, names []string) (load, error) { return parseLoadObject([]byte(s), names) }
+		}
+		l, err := parse(text, names)
+		if (err == nil) != good || good && (l[0] != 4 || l[1] != 2.5) {
+			t.Errorf("%q: %v, %v", text, l, err)
 		}
 	}
 }
@@ -105,7 +115,7 @@
 		"two ends":                {ok + line(`"done","result":"rA"`) + line(`"failed"`) + end, foxlift.Reset},
 		"too long":                {ok + line(`"done","result":"`+strings.Repeat("x", maxResponse)+`"`) + end, foxlift.Reset},
 	} {
-		a := &attempt{job: &core.Job{ID: "j1", Payload: &payload{method: "POST", target: "/x"}}, report: func(core.Report) {}}
+		a := &attempt{nodes: &nodes{}, job: &core.Job{ID: "j1", Payload: &payload{method: "POST", target: "/x"}}, report: func(core.Report) {}}
 		r, _ := a.receive(&nodeConn{buf: buffer{conn: scripted{text: strings.NewReader(c.text)}}})
 		if r.Code != c.want || !r.Ended || c.want == foxlift.Served && string(r.Result) != "rA" {
 			t.Errorf("%s: code %d, result %.20q; want code %d", name, r.Code, r.Result, c.want)
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -38,6 +38,7 @@
 	front    *front
 	machines *machines
 	nodes    *nodes
+	peers    *peers // nil where schedulers do not speak with each other
 	core     *core.Core
 }
 
@@ -62,6 +63,13 @@
 	nodes := newNodes(list, cfg.Settings, set, half)
 	c.Connect(nodes, list, front.mostJobs())
 	p := &Platform{front: front, machines: list, nodes: nodes, core: c}
+	if cfg.Peers.Listen != "" {
+		if p.peers, err = newPeers(cfg.Peers, cfg.Settings.Module.Index, clock, set, c.Heard); err != nil {
+			listener.Close()
+			return nil, err
+		}
+		c.ConnectPeers(p.peers)
+	}
 	c.Start(workers)
 	go p.front.accept()
 	return p, nil
@@ -89,8 +97,16 @@
 	defer first.Stop()
 	p.front.shutDown(moments, stayTime)
 	p.core.Stop()
+	p.end()
+}
+
+// end ends what the scheduler has open towards others than its submitters.
+func (p *Platform) end() {
 	p.machines.stop()
 	p.nodes.closeAll()
+	if p.peers != nil {
+		p.peers.stop()
+	}
 }
 
 // Kill ends everything at once and answers nothing more, as a kill of the process
@@ -103,6 +119,5 @@
 	for s := range p.front.all {
 		s.conn.Close()
 	}
-	p.machines.stop()
-	p.nodes.closeAll()
+	p.end()
 }
--- a/internal/platform/probe.go
+++ b/internal/platform/probe.go
@@ -5,8 +5,6 @@
 	"fmt"
 	"io"
 	"net/http"
-	"strconv"
-	"strings"
 	"time"
 
 	"github.com/vatu-meals/foxlift"
@@ -41,7 +39,7 @@
 
 func (n *nodes) ask(conn *nodeConn, node string) (core.Report, bool) {
 	path := pathPing
-	if n.withLoad {
+	if len(n.loads.names) > 0 {
 		path = pathLoad
 	}
 	if _, err := fmt.Fprintf(conn, "GET %s HTTP/1.1\r\nHost: %s\r\n\r\n", path, node); err != nil {
@@ -62,28 +60,8 @@
 		return ended(foxlift.Erred), reusable
 	}
 	r := ended(foxlift.Served)
-	if n.withLoad {
-		r.Load, r.HasLoad = parseLoad(string(body), n.loadNames)
+	if len(n.loads.names) > 0 {
+		r.Load, r.HasLoad = n.loads.body(body)
 	}
 	return r, reusable
 }
-
-// parseLoad reads a load report, name=value,name=value, in the settings' order.
-// A report that lacks a value counts as none.
-func parseLoad(s string, names []string) (load [foxlift.MaxGauges]float64, ok bool) {
-	values := map[string]float64{}
-	for part := range strings.SplitSeq(strings.TrimSpace(s), ",") {
-		name, value, _ := strings.Cut(strings.TrimSpace(part), "=")
-		x, err := strconv.ParseFloat(value, 64)
-		if err != nil {
-			return load, false
-		}
-		values[name] = x
-	}
-	for i, name := range names[:min(len(names), len(load))] {
-		if load[i], ok = values[name]; !ok {
-			return load, false
-		}
-	}
-	return load, len(names) > 0
-}
