--- a/cmd/foxlift-lab/main.go
+++ b/cmd/foxlift-lab/main.go
@@ -27,7 +27,7 @@
 		Use: "foxlift-lab", Short: "Demonstrations and measurements of foxlift on loopback",
 		SilenceErrors: true, SilenceUsage: true,
 	}
-	cmd.AddCommand(demo(), cells(), loops(), speed(), standIns(), fuzzRunner(), mutants(), coldStart())
+	cmd.AddCommand(demo(), cells(), loops(), speed(), standIns(), fuzzRunner(), mutants(), coldStart(), keyed())
 	return cmd
 }
 
@@ -160,6 +160,37 @@
 	}
 }
 
+func keyed() *cobra.Command {
+	o := fleet.DefaultKeyed
+	cmd := &cobra.Command{
+		Use: "keyed", Short: "Reset and silence connections amid keyed jobs, and see that none runs twice", Args: cobra.NoArgs,
+		Long: `keyed starts two scheduler processes among nodes in two pods that drop repeats of a keyed
+job for a time, and resets or silences one connection after another; messages between the
+schedulers are lost, doubled, garbled and late. It exits with code 1 if a keyed job ran twice, a
+job is lost, none was sent again, or a scheduler does not end well. --short-window and --no-pods
+make the deployment break its own promise: then it must exit with 1.`,
+		Example: "  go run ./cmd/foxlift-lab keyed --build bin/foxlift",
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			r, err := o.Run(cmd.OutOrStdout())
+			if err != nil {
+				return err
+			}
+			fmt.Fprintln(cmd.OutOrStdout(), r.Line())
+			if !r.OK() {
+				return errors.New("something happened that must not")
+			}
+			return nil
+		},
+	}
+	cmd.Flags().StringVar(&o.Program, "build", o.Program, "the scheduler's binary")
+	cmd.Flags().IntVar(&o.Faults, "faults", o.Faults, "resets and silences, about as many of each")
+	cmd.Flags().Uint64Var(&o.Seed, "seed", o.Seed, "of the arrivals and the faults")
+	cmd.Flags().DurationVar(&o.Every, "every", o.Every, "between two faults")
+	cmd.Flags().BoolVar(&o.ShortWindow, "short-window", false, "pods drop repeats for less than the settings say")
+	cmd.Flags().BoolVar(&o.NoPods, "no-pods", false, "each node drops its own repeats only")
+	return cmd
+}
+
 func coldStart() *cobra.Command {
 	o := fleet.DefaultColdStart
 	cmd := &cobra.Command{
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -72,7 +72,18 @@
 		t.Errorf("settings: %+v", c)
 	}
 	if c.Module.MayMessage {
-		t.Error("messages to peers, for which the protocol has no way")
+		t.Error("messages to peers, without an address to receive them at")
+	}
+	peers := `"peer_listen":"127.0.0.1:7","peers":["127.0.0.1:1","127.0.0.1:2"],"peers_all":"127.0.0.1:3"`
+	for text, want := range map[string]bool{
+		strings.Replace(good, `"novel":true`, peers, 1):                                                                  true,
+		strings.Replace(strings.Replace(good, `"novel":true`, peers, 1), `"peerMessages":true`, `"x":1`, 1):              false,
+		strings.Replace(strings.Replace(good, `"novel":true`, peers, 1), `"balancers":2,"slotNo":1`, `"balancers":1`, 1): false,
+	} {
+		s, err := load(t, text, nil)
+		if err != nil || s.Settings.Module.MayMessage != want || (s.Peers.Listen != "") != want {
+			t.Errorf("%v, %v, want messages %v", s, err, want)
+		}
 	}
 }
 
@@ -102,6 +113,11 @@
 		{`"quotaRps":2.0`, `"quotaRps":-2.0`, "settings.projects[0].quotaRps"},
 		{`"connectTimeout":5`, `"connectTimeout":-5`, "settings.bounds.connectTimeout"},
 		{`"familyInfo":{`, `"familyInfo":{"classKind":[4],`, "settings.familyInfo.classKind[0]"},
+		{`"novel":true`, `"peer_listen":"127.0.0.1"`, "peer_listen"},
+		{`"novel":true`, `"peer_listen":"127.0.0.1:0"`, "peers"},
+		{`"novel":true`, `"peer_listen":"127.0.0.1:0","peers":["127.0.0.1:1","127.0.0.1:0"]`, "peers[1]"},
+		{`"novel":true`, `"peer_listen":"127.0.0.1:0","peers":["127.0.0.1:1","127.0.0.1:2"],"peers_all":"x"`, "peers_all"},
+		{`"flavors"`, `"report":{"names":["x0","x0"]},"flavors"`, "settings.report.names[1]"},
 	} {
 		if !strings.Contains(good, c.old) {
 			t.Fatalf("%s is not in the example", c.old)
--- a/internal/config/settings.go
+++ b/internal/config/settings.go
@@ -271,6 +271,10 @@
 // maxTime bounds every time in the settings: sums and multiples of them stay numbers.
 const maxTime = int64(30 * 24 * time.Hour)
 
+// keyMargin is what a repeat of a keyed job may take from its last byte's writing to the node,
+// with what clocks differ by: so much sooner the window counts as over.
+const keyMargin = int64(100 * time.Millisecond)
+
 // checkReal holds the checks that only the real scheduler makes: the simulator's
 // adapter leaves them to the module.
 func (s *Settings) checkReal() error {
@@ -344,8 +348,18 @@
 			return fmt.Errorf("%s: negative", f.key)
 		}
 	}
+	for i, name := range s.GaugeNames {
+		if name == "" || slices.Contains(s.GaugeNames[:i], name) {
+			return fmt.Errorf("report.names[%d]: %q is empty or there twice", i, name)
+		}
+	}
 	if len(c.Gauges) > foxlift.MaxGauges {
 		return fmt.Errorf("report.names: more than %d", foxlift.MaxGauges)
 	}
+	for i := range c.Classes {
+		if k := &c.Classes[i]; k.Effect == foxlift.Deduplicated {
+			k.KeyTTL = max(0, k.KeyTTL-keyMargin)
+		}
+	}
 	return nil
 }
--- a/internal/core/cell.go
+++ b/internal/core/cell.go
@@ -238,7 +238,7 @@
 
 // repeatHarms reports whether the job may have run and its class minds another run.
 func (c *Core) repeatHarms(j *job) bool {
-	return j.mayHaveRun() && c.settings.Module.Classes[j.class].Effect != foxlift.Idempotent
+	return j.mayHaveRun() != nil && c.settings.Module.Classes[j.class].Effect != foxlift.Idempotent
 }
 
 // A keyIn is a key in a cell.
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -21,13 +21,19 @@
 	"github.com/vatu-meals/foxlift/internal/counters"
 )
 
+// Limits are the times that a claim has.
+type Limits struct {
+	Remaining time.Duration // the submitter waits so long
+	Within    time.Duration // the last byte must be written by then, or never; 0: no such limit
+}
+
 // Nodes reaches the execute nodes. Its methods are called on the core's
 // goroutine and must not block.
 type Nodes interface {
 	// Send starts a claim. It calls report with what happens, from any
 	// goroutine, the last time with Ended set. withdraw ends the claim early
 	// by closing its connection.
-	Send(node string, job *Job, remaining time.Duration, report func(Report)) (withdraw func())
+	Send(node string, job *Job, limits Limits, report func(Report)) (withdraw func())
 	// CloseIdle closes the idle connections to a node.
 	CloseIdle(node string)
 	// Probe asks a node for a sign of life and calls report once.
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -27,7 +27,7 @@
 	onSend   func(*Job)
 }
 
-func (r *rig) Send(node string, j *Job, _ time.Duration, report func(Report)) func() {
+func (r *rig) Send(node string, j *Job, _ Limits, report func(Report)) func() {
 	r.sent, r.nodes, r.lastNode = append(r.sent, report), append(r.nodes, node), node
 	if j.Class == "ratify" {
 		r.ratify = append(r.ratify, j.ID)
--- a/internal/core/job.go
+++ b/internal/core/job.go
@@ -70,14 +70,14 @@
 	keyed   keyIn // as it is counted in Core.keys
 }
 
-// mayHaveRun reports whether any claim of the job may have run or may yet.
-func (j *job) mayHaveRun() bool {
+// mayHaveRun returns the first claim of the job that may have run or may yet; nil if none.
+func (j *job) mayHaveRun() *claim {
 	for _, cl := range j.claims {
 		if !cl.done || !cl.code.NeverRan() {
-			return true
+			return cl
 		}
 	}
-	return false
+	return nil
 }
 
 // A claim is one attempt at running a job on an execute node.
@@ -86,6 +86,8 @@
 	cell     *cell // whose module made it
 	attempt  int   // as that module counts
 	node     string
+	zone     int // of the node; -1: unknown
+	pod      int // the node's cell in discovery's list; -1: unknown
 	sent     int64
 	done     bool
 	code     foxlift.Code // if done
--- a/internal/core/model_test.go
+++ b/internal/core/model_test.go
@@ -125,12 +125,17 @@
 // mayHaveRun is the truth as the scheduler can know it. It goes by id: what a front
 // takes twice must not run twice either.
 func (w *world) mayHaveRun(j *modelJob) bool {
+	return j.Class == "ratify" && w.firstMayHaveRun(j) != nil
+}
+
+// firstMayHaveRun is the first claim of a job that may have run, or may yet; nil: none.
+func (w *world) firstMayHaveRun(j *modelJob) *modelClaim {
 	for _, c := range w.claims {
-		if c.job.sameAs(j) && c.job.Class == "ratify" && (!c.ended || !provesNothingRan[c.code]) {
-			return true
+		if c.job.sameAs(j) && c.job.Class == j.Class && (!c.ended || !provesNothingRan[c.code]) {
+			return c
 		}
 	}
-	return false
+	return nil
 }
 
 // Answer implements Submitter.
@@ -150,8 +155,10 @@
 	}
 }
 
+const sealWindow = 2 * time.Second
+
 // Send implements Nodes.
-func (w *world) Send(node string, job *Job, remaining time.Duration, report func(Report)) func() {
+func (w *world) Send(node string, job *Job, limits Limits, report func(Report)) func() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	j := job.Submitter.(*modelJob)
@@ -173,7 +180,15 @@
 	if since, ok := w.drained[node]; ok && time.Since(since) > drainGrace {
 		w.breaks("%s is sent to %s, which drains for %v", j.ID, node, time.Since(since))
 	}
-	if remaining <= 0 {
+	if first := w.firstMayHaveRun(j); j.Class == "seal" && first != nil {
+		if zone := func(node string) int { return int(node[1]) % 2 }; zone(node) != zone(first.node) {
+			w.breaks("%s is sent to %s, and may have run on %s in the other zone", j.ID, node, first.node)
+		}
+		if age := w.now() - first.sent; age > sealWindow || limits.Within <= 0 || age+limits.Within > sealWindow+time.Millisecond {
+			w.breaks("%s is sent within %v, and may have run %v ago", j.ID, limits.Within, age)
+		}
+	}
+	if limits.Remaining <= 0 {
 		w.breaks("%s is sent when its time is over", j.ID)
 	}
 	c := &modelClaim{job: j, node: node, sent: w.now(), report: report}
@@ -247,7 +262,7 @@
 		}
 		j := &modelJob{world: w, asked: w.now()}
 		j.Job = &Job{
-			ID: id, Class: modelClasses[a.a%3], Tenant: modelTenants[a.b%3], Arrived: c.clock.Now(), Key: uint64(a.c % 4),
+			ID: id, Class: modelClasses[a.a%3], Keyed: a.a%3 != 2 || a.c%8 != 7, Tenant: modelTenants[a.b%3], Arrived: c.clock.Now(), Key: uint64(a.c % 4),
 			Remaining: []time.Duration{5 * time.Second, 20 * time.Millisecond, time.Second, 0}[a.c%4], Submitter: j,
 			Slots: float64(a.b % 3), Repeat: a.c%5 == 0,
 		}
--- a/internal/lab/fleet/fleet.go
+++ b/internal/lab/fleet/fleet.go
@@ -24,6 +24,7 @@
 	Program   string        // the scheduler's binary
 	Price     standin.Price // of calls to discovery
 	Cold      *standin.Cold // of nodes that start; nil: they are warm at once
+	PodWindow time.Duration // in which pods really drop repeats; 0: as the settings say
 	NodeLinks bool          // a link between each scheduler and each node: only for small fleets
 }
 
@@ -33,6 +34,7 @@
 	Processes []*Process
 	Discovery *standin.Discovery
 	Links     []*Link // of each process to discovery
+	Talk      *Talk   // between the processes; nil where they do not speak with each other
 
 	mu        sync.Mutex
 	nodes     []*standin.Node // all that ever were
@@ -41,6 +43,7 @@
 	dir       string
 	ends      []func()
 	began     int // nodes
+	pods      []*standin.Pod
 }
 
 // New makes a fleet. Its processes have not been started yet: StartAll does.
@@ -58,6 +61,15 @@
 		return nil, err
 	}
 	f.Discovery.Price = o.Price
+	for i := range o.Pods {
+		f.pods = append(f.pods, &standin.Pod{Number: i, Window: f.podWindow()})
+	}
+	if o.Peers {
+		if f.Talk, err = newTalk(o.Schedulers); err != nil {
+			return nil, err
+		}
+		f.ends = append(f.ends, f.Talk.close)
+	}
 	for _, k := range o.Kinds {
 		for range k.Count {
 			if _, err := f.AddNode(k, time.Time{}); err != nil {
@@ -73,6 +85,14 @@
 	return f, nil
 }
 
+// podWindow is how long pods drop repeats: as long as the settings say, if nothing else is asked for.
+func (f *Fleet) podWindow() time.Duration {
+	if f.PodWindow != 0 {
+		return f.PodWindow
+	}
+	return f.Window
+}
+
 // AddNode starts a node and has discovery tell of it; started is its start, zero: long ago.
 func (f *Fleet) AddNode(k lab.Kind, started time.Time) (*standin.Node, error) {
 	l, err := standin.Listen()
@@ -92,7 +112,12 @@
 		work[c.Name] = time.Duration(float64(c.Work) / k.Speed)
 	}
 	n := standin.NodeOn(l, name, zone, k.Name, k.Slots, 2*k.Slots, func(class string) time.Duration { return work[class] })
-	n.Started, n.Cold = started, f.Cold
+	n.Started, n.Cold, n.Reports = started, f.Cold, f.Reports
+	if len(f.pods) > 0 {
+		f.mu.Lock()
+		n.Pod = f.pods[len(f.nodes)%len(f.pods)]
+		f.mu.Unlock()
+	}
 	f.mu.Lock()
 	f.nodes = append(f.nodes, n)
 	f.up[name] = n
@@ -177,11 +202,15 @@
 
 // Configure writes the configuration of process i with this list as last known.
 func (f *Fleet) Configure(i int, known []byte) error {
-	text, err := json.Marshal(map[string]any{
+	config := map[string]any{
 		"name": f.Processes[i].Name, "listen": f.Processes[i].Addr, "discovery": f.Links[i].Addr().String(),
 		"seed": fmt.Sprintf("%x", 1000+i), "limits": map[string]any{"memory_mb": 192, "sockets": f.Sockets},
 		"known": json.RawMessage(known), "settings": f.Settings(i),
-	})
+	}
+	if f.Talk != nil {
+		config["peer_listen"], config["peers"] = f.Talk.listen[i], f.Talk.faces[i]
+	}
+	text, err := json.Marshal(config)
 	if err != nil {
 		return err
 	}
--- a/internal/lab/fleet/fleet_test.go
+++ b/internal/lab/fleet/fleet_test.go
@@ -92,6 +92,29 @@
 	}
 }
 
+// Connections are reset or silenced amid keyed jobs, and messages between the schedulers are
+// spoilt: none runs twice. Where the pods forget sooner than the settings say, or know nothing of
+// each other, the same judge says so.
+func TestKeyedJobsRunOnce(t *testing.T) {
+	for name, spoil := range map[string]func(*Keyed){
+		"": nil, "short window": func(o *Keyed) { o.ShortWindow = true }, "no pods": func(o *Keyed) { o.NoPods = true },
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			o := DefaultKeyed
+			o.Program, o.Faults = program, 200
+			if spoil != nil {
+				spoil(&o)
+			}
+			r, err := o.Run(io.Discard)
+			must(t, err)
+			if spoil == nil && !r.OK() || spoil != nil && r.Twice == 0 {
+				t.Error(r.Line())
+			}
+		})
+	}
+}
+
 // learnsOf submits jobs until a node that they did not know runs some, and judges.
 func learnsOf(t *testing.T, f *Fleet, name string, fresh *standin.Node) {
 	t.Helper()
--- a/internal/lab/fleet/load.go
+++ b/internal/lab/fleet/load.go
@@ -25,7 +25,7 @@
 		for _, c := range f.Classes {
 			for _, t := range f.Tenants {
 				senders = append(senders, &standin.Submitter{
-					Addr: p.Addr, Tenant: t.Name, Class: c.Name, Remaining: c.Wait, Aim: c.Aim + 2*c.Work,
+					Addr: p.Addr, Tenant: t.Name, Class: c.Name, Remaining: c.Wait, Aim: c.Aim + 2*c.Work, Keyed: c.Effect == "deduplicated",
 					Name: fmt.Sprintf("%s/%s/%s/%d", name, t.Name, c.Name, i),
 				})
 				rates = append(rates, rate*c.Part*t.Share/float64(len(f.Processes)))
--- a/internal/lab/rig.go
+++ b/internal/lab/rig.go
@@ -40,8 +40,12 @@
 	Zones      []string
 	Tenants    []Tenant
 	Classes    []Class
-	Sockets    int    // descriptors of a scheduler
-	Operator   string // text of the operator's file, with %s for the control socket's path; "": none
+	Sockets    int           // descriptors of a scheduler
+	Pods       int           // that the nodes are dealt out to; 0: they know no repeats
+	Window     time.Duration // in which a pod drops repeats of jobs whose class has the effect "deduplicated"
+	Reports    bool          // nodes report their load
+	Peers      bool          // schedulers may send each other messages
+	Operator   string        // text of the operator's file, with %s for the control socket's path; "": none
 }
 
 // A Class is a class of jobs.
@@ -142,7 +146,8 @@
 	var kinds []string
 	var stretch []float64
 	for _, c := range w.Classes {
-		classes = append(classes, map[string]any{"name": c.Name, "aim": ns(c.Aim), "deadline": ns(c.Wait), "effect": c.Effect, "gain": 1})
+		classes = append(classes, map[string]any{"name": c.Name, "aim": ns(c.Aim), "deadline": ns(c.Wait), "effect": c.Effect, "gain": 1,
+			"dedupScope": "cell", "keyTtl": ns(w.Window)})
 		stretch = append(stretch, 2)
 	}
 	for _, t := range w.Tenants {
@@ -151,10 +156,14 @@
 	for _, k := range w.Kinds {
 		kinds = append(kinds, k.Name)
 	}
+	report := map[string]any{"how": "none", "names": []string{}}
+	if w.Reports {
+		report = map[string]any{"how": "answers", "names": []string{"backlog", "outstanding", "x0"}}
+	}
 	return map[string]any{
-		"balancers": w.Schedulers, "slotNo": i, "discovery": "subscribe", "dcs": w.Zones, "zone": w.Zones[i%len(w.Zones)], "flavors": kinds,
-		"grades": classes, "projects": tenants, "familyInfo": map[string]any{"classStretch": stretch, "tellsStart": true},
-		"bounds": map[string]any{"cancel": true, "secondCopies": true, "retryAfter": true, "maxRetryAfter": ns(2 * time.Second),
+		"report": report, "balancers": w.Schedulers, "slotNo": i, "discovery": "subscribe", "dcs": w.Zones, "zone": w.Zones[i%len(w.Zones)], "flavors": kinds,
+		"grades": classes, "projects": tenants, "familyInfo": map[string]any{"classStretch": stretch, "tellsStart": true, "reportX0": "free slots"},
+		"bounds": map[string]any{"cancel": true, "peerMessages": w.Peers, "secondCopies": true, "retryAfter": true, "maxRetryAfter": ns(2 * time.Second),
 			"maxAttempts": 3, "connIdle": ns(30 * time.Second), "connectTimeout": ns(time.Second), "streamsPerConn": 1},
 		"obligations": map[string]any{"drainGrace": ns(750 * time.Millisecond), "graceToAnswer": ns(8 * time.Millisecond), "mustAskIn": ns(10 * time.Second),
 			"startCapacity": 0.14, "warmAfter": ns(24 * time.Second), "fallMultiple": 3, "fall": ns(time.Second)},
@@ -232,10 +241,11 @@
 	return runs
 }
 
-// AtMostOnce reports whether a job's id says that it must not run twice.
+// AtMostOnce reports whether a job's id says that it must not run twice: also not where its
+// nodes drop repeats, which are no runs.
 func (w World) AtMostOnce(id string) bool {
 	for _, c := range w.Classes {
-		if c.Effect == "at_most_once" && strings.Contains(id, "/"+c.Name+"/") {
+		if c.Effect != "idempotent" && strings.Contains(id, "/"+c.Name+"/") {
 			return true
 		}
 	}
--- a/internal/platform/attempt.go
+++ b/internal/platform/attempt.go
@@ -27,12 +27,13 @@
 // connection that turns out to be stale: whether to try again is the module's
 // decision.
 type attempt struct {
-	nodes  *nodes
-	ctx    context.Context // ends when the claim is withdrawn
-	node   string
-	job    *core.Job
-	until  time.Time // the submitter waits until then
-	report func(core.Report)
+	nodes   *nodes
+	ctx     context.Context // ends when the claim is withdrawn
+	node    string
+	job     *core.Job
+	until   time.Time // the submitter waits until then
+	writeBy time.Time // the last byte is written by then or never; zero: no such limit
+	report  func(core.Report)
 }
 
 func (a *attempt) run() {
@@ -68,7 +69,7 @@
 // exchange writes the job and reads the node's answer. reusable says that the
 // connection is at the start of a new request.
 func (a *attempt) exchange(conn *nodeConn) (r core.Report, reusable bool) {
-	if code := conn.deliver(a.request(), a.nodes.holdTime(conn, a.job.Class)); code != foxlift.Served {
+	if code := conn.deliver(a.request(), a.nodes.holdTime(conn, a.job.Class), a.writeBy); code != foxlift.Served {
 		return ended(code), false
 	}
 	return a.receive(conn)
@@ -99,7 +100,7 @@
 // held back until it is known, as far as can be, that the other side has not refused
 // the rest: a connection that the node has dropped, or drops now, answers the first
 // bytes with a reset, and where the last byte was not written the job never ran.
-func (c *nodeConn) deliver(request []byte, hold time.Duration) foxlift.Code {
+func (c *nodeConn) deliver(request []byte, hold time.Duration, by time.Time) foxlift.Code {
 	last := len(request) - 1
 	if _, err := c.Write(request[:last]); err != nil {
 		return c.broken()
@@ -107,6 +108,9 @@
 	if !c.intact(hold) {
 		return c.broken()
 	}
+	if !by.IsZero() && !time.Now().Before(by) {
+		return foxlift.NotSent // the nodes that knew it as a repeat may have forgotten it
+	}
 	if n, err := c.Write(request[last:]); n == 0 {
 		return c.broken()
 	} else if err != nil {
--- a/internal/platform/nodes.go
+++ b/internal/platform/nodes.go
@@ -217,9 +217,13 @@
 }
 
 // Send implements core.Nodes.
-func (n *nodes) Send(node string, job *core.Job, remaining time.Duration, report func(core.Report)) func() {
+func (n *nodes) Send(node string, job *core.Job, limits core.Limits, report func(core.Report)) func() {
 	ctx, withdraw := context.WithCancel(context.Background())
-	a := &attempt{nodes: n, ctx: ctx, node: node, job: job, until: time.Now().Add(remaining), report: report}
+	now := time.Now()
+	a := &attempt{nodes: n, ctx: ctx, node: node, job: job, until: now.Add(limits.Remaining), report: report}
+	if limits.Within > 0 {
+		a.writeBy = now.Add(limits.Within)
+	}
 	go a.run()
 	return withdraw
 }
--- a/internal/platform/parse_test.go
+++ b/internal/platform/parse_test.go
@@ -103,6 +103,10 @@
 		"504 turned away":         {"HTTP/1.1 504 No\r\nX-Turned-Away: 1\r\nContent-Length: 0\r\n\r\n", foxlift.Full},
 		"503 without the word":    {"HTTP/1.1 503 No\r\nContent-Length: 0\r\n\r\n", foxlift.Erred},
 		"500 with the word":       {"HTTP/1.1 500 No\r\nX-Turned-Away: 1\r\nContent-Length: 0\r\n\r\n", foxlift.Erred},
+		"400":                     {"HTTP/1.1 400 No\r\nContent-Length: 0\r\n\r\n", foxlift.Blamed},
+		"429 is no turning away":  {"HTTP/1.1 429 No\r\nX-Turned-Away: 1\r\nContent-Length: 0\r\n\r\n", foxlift.Blamed},
+		"a spoilt load":           {ok + line(`"done","result":"rA","load":[1]`) + end, foxlift.Served},
+		"load twice":              {ok + line(`"done","result":"rA","load":{},"load":{}`) + end, foxlift.Reset},
 		"nothing":                 {"", foxlift.Reset},
 		"half a head":             {"HTTP/1.1 200 OK\r\nTransfer-Enc", foxlift.Reset},
 		"no HTTP":                 {"SSH-2.0-x\r\n\r\n", foxlift.Reset},
@@ -158,6 +162,10 @@
 		"other class":   {func(h http.Header) { h.Set(headerClass, "ratify") }, "bad.class"},
 		"no remaining":  {func(h http.Header) { h.Del(headerRemaining) }, "bad.remaining"},
 		"bad remaining": {func(h http.Header) { h.Set(headerRemaining, "5s") }, "bad.remaining"},
+		"empty key":     {func(h http.Header) { h[headerKey] = []string{""} }, "bad.key"},
+		"two keys":      {func(h http.Header) { h[headerKey] = []string{"a", "a"} }, "bad.key"},
+		"long key":      {func(h http.Header) { h.Set(headerKey, strings.Repeat("k", maxKey+1)) }, "bad.key"},
+		"key in words":  {func(h http.Header) { h.Set(headerKey, "a b") }, "bad.key"},
 		"bad labels":    {func(h http.Header) { h.Set(headerLabels, "slots=many") }, "bad.labels"},
 	} {
 		r := good()
--- a/internal/platform/rules_test.go
+++ b/internal/platform/rules_test.go
@@ -284,7 +284,7 @@
 	job := &core.Job{ID: "j", Payload: &payload{method: "POST", target: "/reading"}}
 	reports := make(chan core.Report, 9)
 	for range 2 { // then before it
-		n.Send("n", job, patience, func(r core.Report) { reports <- r })
+		n.Send("n", job, core.Limits{Remaining: patience}, func(r core.Report) { reports <- r })
 		check(t, "code", (<-reports).Code, foxlift.NotSent)
 	}
 	await(t, "dialed", func() bool { return node.Conns.Load() == 1 }) // the first time only
@@ -881,10 +881,14 @@
 		}
 	}
 	c.since = time.Now()
-	check(t, "deliver", c.deliver([]byte("some bytes"), 0), foxlift.Served)
+	check(t, "deliver", c.deliver([]byte("some bytes"), 0, time.Time{}), foxlift.Served)
+	check(t, "deliver too late", c.deliver([]byte("more"), 0, time.Now()), foxlift.NotSent)
+	got := make([]byte, 20)
+	read, _ := io.ReadAtLeast(other, got, len("some bytesmor"))
+	check(t, "all but the last byte", string(got[:read]), "some bytesmor")
 	other.Close()
 	await(t, "the end arrives", func() bool { return !c.buf.fillNow() })
-	check(t, "deliver after the end", c.deliver([]byte("some bytes"), 0), foxlift.NotSent)
+	check(t, "deliver after the end", c.deliver([]byte("some bytes"), 0, time.Time{}), foxlift.NotSent)
 }
 
 // A line that says a thing twice is garbled: no reading of it may be believed.
--- a/internal/standin/discovery.go
+++ b/internal/standin/discovery.go
@@ -84,6 +84,9 @@
 // Put says how a node is: active, leaving, or left.
 func (d *Discovery) Put(n *Node, health string) {
 	h := host{Host: n.Name, Dial: n.Addr(), Zone: n.Zone, Kind: n.Kind, Health: health, Share: 1}
+	if n.Pod != nil {
+		h.Block = n.Pod.Number
+	}
 	if n.Via != "" {
 		h.Dial = n.Via
 	}
--- a/internal/standin/node.go
+++ b/internal/standin/node.go
@@ -131,6 +131,8 @@
 	Started          time.Time                        // reported as its start; zero: long ago
 	Via              string                           // the address that discovery tells; "": its own
 	Cold             *Cold                            // nil: it is warm at once and bears anything
+	Pod              *Pod                             // nil: it knows no repeats
+	Reports          bool                             // its last words bring a load report
 
 	server    *Server
 	slots     chan struct{}
@@ -248,9 +250,20 @@
 		io.Copy(io.Discard, c) // until the scheduler gives up
 		return false
 	}
+	if n.Pod != nil {
+		first, done := n.Pod.enter(r.Header.Get("Idempotency-Key"))
+		if !first { // it has run here or runs: the answer is the first one's
+			<-done
+			return SayStates(c, id, true, fmt.Sprintf(`"done","result":"%s again"`, id))
+		}
+		defer n.Pod.ended(done)
+	}
 	select {
 	case n.room <- struct{}{}:
 	default:
+		if n.Pod != nil {
+			n.Pod.forget(r.Header.Get("Idempotency-Key")) // turned away unseen
+		}
 		_, err := io.WriteString(c, "HTTP/1.1 503 Full\r\nX-Turned-Away: 1\r\nContent-Length: 0\r\n\r\n")
 		return err == nil
 	}
@@ -265,7 +278,7 @@
 		return SayStates(c, id, true, `"failed"`)
 	}
 	w := &cutter{Conn: c, left: b.CutAfter}
-	if !SayStates(w, id, false, `"started"`) {
+	if !SayStates(w, id, false, `"started"`) && n.Pod == nil {
 		return false
 	}
 	if work > 0 {
@@ -275,7 +288,7 @@
 		}
 		<-time.After(work)
 	}
-	_, err := io.WriteString(w, chunk(id, fmt.Sprintf(`"done","result":"%s of %s by %s\n"`, id, class, n.Name))+"0\r\n\r\n")
+	_, err := io.WriteString(w, chunk(id, fmt.Sprintf(`"done","result":"%s of %s by %s\n"`, id, class, n.Name)+n.report())+"0\r\n\r\n")
 	return err == nil
 }
 
--- /dev/null
+++ b/internal/standin/pod.go
@@ -0,0 +1,62 @@
+package standin
+
+import (
+	"fmt"
+	"sync"
+	"time"
+)
+
+// A Pod is the nodes that drop repeats of a keyed job together, for a time.
+type Pod struct {
+	Number int
+	Window time.Duration // counted from a job's first arrival at any of them
+
+	mu   sync.Mutex
+	seen map[string]seenKey
+}
+
+type seenKey struct {
+	at   time.Time
+	done chan struct{} // closed when its run has ended
+}
+
+// enter takes in a key; first tells that it has to run. Without a key every job does.
+func (p *Pod) enter(key string) (first bool, done chan struct{}) {
+	done = make(chan struct{})
+	if key == "" {
+		return true, done
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.seen == nil {
+		p.seen = map[string]seenKey{}
+	}
+	if s, ok := p.seen[key]; ok && time.Since(s.at) < p.Window {
+		return false, s.done
+	}
+	p.seen[key] = seenKey{time.Now(), done}
+	return true, done
+}
+
+func (p *Pod) ended(done chan struct{}) { close(done) }
+
+// forget forgets a key whose job was turned away.
+func (p *Pod) forget(key string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	delete(p.seen, key)
+}
+
+// report is a load report as the last line of an answer has it; "" without reports.
+func (n *Node) report() string {
+	if !n.Reports {
+		return ""
+	}
+	return fmt.Sprintf(`,"load":%s`, n.load())
+}
+
+// load counts the job that is about to end as ended.
+func (n *Node) load() string {
+	running, held := max(0, len(n.slots)-1), max(0, len(n.room)-1)
+	return fmt.Sprintf(`{"backlog":%d,"outstanding":%d,"x0":%d}`, max(0, held-running), held, cap(n.slots)-running)
+}
--- a/internal/standin/submitter.go
+++ b/internal/standin/submitter.go
@@ -42,6 +42,7 @@
 	Tenant    string
 	Class     string
 	Key       string // of every job; "": none
+	Keyed     bool   // its jobs carry an idempotency key, a new one each
 	Aim       time.Duration
 	Remaining time.Duration
 	Name      string // begins the ids of its jobs
@@ -153,8 +154,12 @@
 	if s.Key != "" {
 		target += "?user=" + s.Key
 	}
-	text := fmt.Sprintf("POST %s HTTP/1.1\r\nHost: app.svc\r\nX-Txn: %s\r\nX-Lane: %s\r\nX-Org: %s\r\nX-Remaining: %dm\r\nContent-Length: 4\r\n\r\nbody",
-		target, id, s.Class, s.Tenant, s.Remaining.Milliseconds())
+	keyed := ""
+	if s.Keyed {
+		keyed = "Idempotency-Key: key-" + id + "\r\n"
+	}
+	text := fmt.Sprintf("POST %s HTTP/1.1\r\nHost: app.svc\r\nX-Txn: %s\r\nX-Lane: %s\r\nX-Org: %s\r\nX-Remaining: %dm\r\n%sContent-Length: 4\r\n\r\nbody",
+		target, id, s.Class, s.Tenant, s.Remaining.Milliseconds(), keyed)
 	for {
 		c, fresh, err := s.take()
 		if err != nil {
