--- a/cmd/foxlift/main_test.go
+++ b/cmd/foxlift/main_test.go
@@ -149,6 +149,9 @@
 	if out, code := command(t, env, "check", "--operator", "../../deploy/operator.example.sexp"); code != 0 || !strings.Contains(out, "sound: 2 cells") {
 		t.Errorf("%d: %s", code, out)
 	}
+	if out, code := command(t, []string{"LB_CONFIG=../../examples/keyed.json"}, "check"); code != 0 {
+		t.Errorf("%d: %s", code, out)
+	}
 	bad := filepath.Join(t.TempDir(), "bad.sexp")
 	os.WriteFile(bad, []byte("(foxlift (control (socket 7))\n (cells (cell a (share 9)) (cell a)))"), 0o600)
 	out, code := command(t, env, "check", "--operator", bad)
--- a/internal/config/fuzz_test.go
+++ b/internal/config/fuzz_test.go
@@ -172,8 +172,12 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	keyed, err := os.ReadFile("../../examples/keyed.json")
+	if err != nil {
+		t.Fatal(err)
+	}
 	path := t.TempDir() + "/config.json"
-	seeds := [][]byte{example, []byte(strings.Replace(string(example), `"memory_mb": 192`, `"memory_mb": 1e300`, 1)),
+	seeds := [][]byte{example, keyed, []byte(strings.Replace(string(example), `"memory_mb": 192`, `"memory_mb": 1e300`, 1)),
 		[]byte(strings.Replace(string(example), `"sockets": 1024`, `"sockets": -1`, 1))}
 	fuzz.Play(t, 13, 1500, seeds, func(t testing.TB, data []byte) {
 		if err := os.WriteFile(path, data, 0o600); err != nil {
--- a/internal/config/settings.go
+++ b/internal/config/settings.go
@@ -220,6 +220,10 @@
 	return t
 }
 
+// Pushed reports whether lists are pushed: to an agent beside the scheduler, of whom each has
+// one of its own. What the agent has counts as told from the scheduler's first moment.
+func (s *Settings) Pushed() bool { return s.Discovery == "automatic" }
+
 // Find looks a name up in one of the tables; -1 if it is not there.
 func Find(table map[string]int, name string) int {
 	if i, ok := table[name]; ok {
--- a/internal/platform/deployments_test.go
+++ b/internal/platform/deployments_test.go
@@ -138,6 +138,24 @@
 	}
 }
 
+// Where lists are pushed the first call is made at once, whatever the number of schedulers.
+func TestPushedListsAreAskedAtOnce(t *testing.T) {
+	for how, spread := range map[string]bool{"subscribe": true, "automatic": false} {
+		s, err := config.ParseSettings([]byte(strings.NewReplacer(`"balancers":1`, `"balancers":900`, `"subscribe"`, `"`+how+`"`).Replace(toySettings)))
+		if err != nil {
+			t.Fatal(err)
+		}
+		s.Module.MustAskIn = int64(time.Minute)
+		longest := time.Duration(0)
+		for range 20 {
+			longest = max(longest, newMachines("", s, nil, zap.NewNop()).firstPause())
+		}
+		if longest > 0 != spread {
+			t.Errorf("%s: the first call waits up to %v", how, longest)
+		}
+	}
+}
+
 // What comes from a stranger, is too long, garbled, late, doubled or one of a flood is counted
 // and goes no further; what a peer says does, in any order.
 func TestPeersDatagrams(t *testing.T) {
--- a/internal/platform/machines.go
+++ b/internal/platform/machines.go
@@ -17,6 +17,16 @@
 	"github.com/vatu-meals/foxlift/internal/config"
 )
 
+// The list's clock. A call that is silent is broken; what it misses counts as told 6 s after
+// it fell silent, or 2 s after its wait is over where that is later, and drainGrace (0.5 to 2 s)
+// more may go by until nothing new may be sent. A silent call is ended, and another made, at
+//
+//	listLimit, 2 s before, for a call that does not wait: for the next call and its answer;
+//	wait + watchSlack, 0.5 s before, for one that waits: at 0.27 of a core a timer comes up to
+//	0.1 s late, and the next call, which waits 0, is answered in a queue's time (0.1 s here).
+//
+// After SIGHUP what the new discovery has counts 4 s later: switchTime is 0.5 s before that, and
+// a call that is silent then is ended after switchLimit, in time for another one.
 const (
 	waitLeast   = 10 * time.Second        // how long discovery may hold a watch,
 	waitMost    = 55 * time.Second        // (it allows 60 s)
@@ -233,11 +243,20 @@
 	}
 }
 
+// firstPause is the pause before the first call. Where lists are pushed there is no queue that
+// all schedulers share, and no time: what the agent has counts as told already.
+func (m *machines) firstPause() time.Duration {
+	if m.settings.Pushed() {
+		return 0
+	}
+	return m.asker.First()
+}
+
 // watch takes the list and then its changes, until it is stopped. What has failed is tried
 // again when the asker says so: it has the sum of all schedulers' calls in view, and an end
 // of the watch comes to all of them at once.
 func (m *machines) watch() {
-	for pause := m.asker.First(); ; {
+	for pause := m.firstPause(); ; {
 		m.mu.Lock()
 		if m.stopped {
 			m.watching = false
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -70,6 +70,9 @@
 		}
 		c.ConnectPeers(p.peers)
 	}
+	if cfg.Settings.Pushed() {
+		list.Watch() // the module asks when it likes
+	}
 	c.Start(workers)
 	go p.front.accept()
 	return p, nil
