--- a/internal/platform/deployments_test.go
+++ b/internal/platform/deployments_test.go
@@ -24,24 +24,7 @@
 ).Replace(toySettings)
 
 func startKeyed(t *testing.T, nodes ...*toyNode) (*Platform, *counters.Set) {
-	s, err := config.ParseSettings([]byte(keyedSettings))
-	if err != nil {
-		t.Fatal(err)
-	}
-	cfg := &config.Scheduler{Listen: "127.0.0.1:0", Discovery: listen(t).Addr().String(), Sockets: 256,
-		Known: []byte(hosts(1, true, nodes...)), Settings: s}
-	set, clock := &counters.Set{}, core.NewClock()
-	c, err := core.New(s, nil, 1, clock, set)
-	if err != nil {
-		t.Fatal(err)
-	}
-	p, err := Start(cfg, c, clock, set, zap.NewNop())
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(p.Kill)
-	await(t, "ready", c.Ready)
-	return p, set
+	return startText(t, keyedSettings, 256, "", nodes...)
 }
 
 // A keyed job's key reaches the node as it came, also one of a class that needs none; where
@@ -156,6 +139,24 @@
 	}
 }
 
+// Of 300 schedulers one whose watch falls silent asks anew in seconds, on a new connection, and
+// goes on from the version that it has: what it missed it is held to soon.
+func TestSilentWatchIsAskedAnew(t *testing.T) {
+	t.Parallel()
+	node := newNode(t, done)
+	addr, calls := newDiscovery(t)
+	settings := strings.Replace(toySettings, `"balancers":1`, `"balancers":300`, 1)
+	_, set := startText(t, settings, 256, addr, node)
+	first := next(t, calls)
+	first.answer(hosts(7, true, node))
+	silent := next(t, calls)
+	again := next(t, calls) // within 20 s; it was 56
+	if again.conn == silent.conn || !strings.HasPrefix(again.target, pathMembers+"?index=7&wait=") {
+		t.Errorf("%s on the same connection", again.target)
+	}
+	check(t, "failed", set.Get("machines.failed"), int64(1))
+}
+
 // What comes from a stranger, is too long, garbled, late, doubled or one of a flood is counted
 // and goes no further; what a peer says does, in any order.
 func TestPeersDatagrams(t *testing.T) {
--- a/internal/platform/toy_test.go
+++ b/internal/platform/toy_test.go
@@ -79,7 +79,11 @@
 // startWith runs a scheduler whose list names these nodes. Without a discovery of
 // the test's, calls to it are refused.
 func startWith(t *testing.T, sockets int, discovery string, nodes ...*toyNode) (*Platform, *counters.Set) {
-	s, err := config.ParseSettings([]byte(toySettings))
+	return startText(t, toySettings, sockets, discovery, nodes...)
+}
+
+func startText(t *testing.T, settings string, sockets int, discovery string, nodes ...*toyNode) (*Platform, *counters.Set) {
+	s, err := config.ParseSettings([]byte(settings))
 	if err != nil {
 		t.Fatal(err)
 	}
