--- a/cmd/foxlift-lab/main.go
+++ b/cmd/foxlift-lab/main.go
@@ -160,6 +160,21 @@
 	}
 }
 
+// judged prints a trial's last line, and fails where the trial did.
+func judged(cmd *cobra.Command, r interface {
+	Line() string
+	OK() bool
+}, err error) error {
+	if err != nil {
+		return err
+	}
+	fmt.Fprintln(cmd.OutOrStdout(), r.Line())
+	if !r.OK() {
+		return errors.New("something happened that must not")
+	}
+	return nil
+}
+
 func keyed() *cobra.Command {
 	o := fleet.DefaultKeyed
 	cmd := &cobra.Command{
@@ -172,14 +187,7 @@
 		Example: "  go run ./cmd/foxlift-lab keyed --build bin/foxlift",
 		RunE: func(cmd *cobra.Command, _ []string) error {
 			r, err := o.Run(cmd.OutOrStdout())
-			if err != nil {
-				return err
-			}
-			fmt.Fprintln(cmd.OutOrStdout(), r.Line())
-			if !r.OK() {
-				return errors.New("something happened that must not")
-			}
-			return nil
+			return judged(cmd, r, err)
 		},
 	}
 	cmd.Flags().StringVar(&o.Program, "build", o.Program, "the scheduler's binary")
@@ -202,14 +210,7 @@
 		Example: "  go run ./cmd/foxlift-lab coldstart --schedulers 30 --nodes 20 --build bin/foxlift",
 		RunE: func(cmd *cobra.Command, _ []string) error {
 			r, err := o.Run(cmd.OutOrStdout())
-			if err != nil {
-				return err
-			}
-			fmt.Fprintln(cmd.OutOrStdout(), r.Line())
-			if !r.OK() {
-				return errors.New("something happened that must not")
-			}
-			return nil
+			return judged(cmd, r, err)
 		},
 	}
 	cmd.Flags().StringVar(&o.Program, "build", o.Program, "the scheduler's binary")
