--- a/internal/lab/fleet/keyed.go
+++ b/internal/lab/fleet/keyed.go
@@ -30,7 +30,7 @@
 type KeyedResult struct {
 	Resets, Silences int
 	Tally            standin.Tally
-	Sent, Served     int64 // claims
+	Sent             int64 // claims
 	Withheld         int64 // repeats that no rule allowed
 	Twice            int   // keyed jobs that ran twice, on any nodes
 	Heard, Dropped   int64 // messages between schedulers
@@ -117,7 +117,7 @@
 		r.Ended = false
 		fmt.Fprintln(w, err)
 	}
-	r.Sent, r.Served, r.Withheld = f.Counter("claims.sent"), f.Counter("claims.served"), f.Counter("claims.withheld")
+	r.Sent, r.Withheld = f.Counter("claims.sent"), f.Counter("claims.withheld")
 	r.Heard = f.Counter("peers.heard")
 	r.Dropped = f.Counter("peers.garbled") + f.Counter("peers.doubled") + f.Counter("peers.late")
 	r.Twice = len(f.Twice())
--- a/internal/lab/fleet/talk.go
+++ b/internal/lab/fleet/talk.go
@@ -16,7 +16,6 @@
 
 	lose, double, spoil atomic.Int64 // of each 100 datagrams
 	delay               atomic.Int64 // most, in nanoseconds
-	Passed, Bytes       atomic.Int64
 
 	sockets []*net.UDPConn
 	wait    sync.WaitGroup
@@ -88,8 +87,6 @@
 		} else if err != nil {
 			continue
 		}
-		t.Passed.Add(1)
-		t.Bytes.Add(int64(n))
 		at := func(every int64) bool { return k*every/100 != (k-1)*every/100 }
 		if at(t.lose.Load()) {
 			continue
--- a/internal/standin/node.go
+++ b/internal/standin/node.go
@@ -256,7 +256,7 @@
 			<-done
 			return SayStates(c, id, true, fmt.Sprintf(`"done","result":"%s again"`, id))
 		}
-		defer n.Pod.ended(done)
+		defer close(done)
 	}
 	select {
 	case n.room <- struct{}{}:
--- a/internal/standin/pod.go
+++ b/internal/standin/pod.go
@@ -38,8 +38,6 @@
 	return true, done
 }
 
-func (p *Pod) ended(done chan struct{}) { close(done) }
-
 // forget forgets a key whose job was turned away.
 func (p *Pod) forget(key string) {
 	p.mu.Lock()
