Second address, figures and draining one scheduler

Seen: the rule on lost jobs broken 4 s after the drain (health went on saying yes; front.ready knew only the end) and no figure was to be had.

--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -25,6 +25,7 @@
 type Scheduler struct {
 	Name      string
 	Listen    string // address:port for submitters
+	Admin     string // address:port for the operators' calls; "": there is none
 	Discovery string // address:port of discovery
 	Seed      uint64
 	MemoryMB  int
@@ -44,6 +45,7 @@
 type file struct {
 	Name      string `json:"name"`
 	Listen    string `json:"listen"`
+	Admin     string `json:"admin"`
 	Discovery string `json:"discovery"`
 	Seed      string `json:"seed"`
 	Limits    struct {
@@ -79,11 +81,11 @@
 	if err := json.Unmarshal(text, &f); err != nil {
 		return nil, fmt.Errorf("LB_CONFIG: %w", keyError(err))
 	}
-	s := &Scheduler{Name: f.Name, Listen: f.Listen, Discovery: f.Discovery, Known: f.Known}
+	s := &Scheduler{Name: f.Name, Listen: f.Listen, Admin: f.Admin, Discovery: f.Discovery, Known: f.Known}
 	for _, v := range []struct {
 		key string
 		to  *string
-	}{{"LB_NAME", &s.Name}, {"LB_LISTEN", &s.Listen}, {"LB_DISCOVERY", &s.Discovery}} {
+	}{{"LB_NAME", &s.Name}, {"LB_LISTEN", &s.Listen}, {"LB_ADMIN", &s.Admin}, {"LB_DISCOVERY", &s.Discovery}} {
 		if x := getenv(v.key); x != "" && !(again && v.to == &s.Discovery && *v.to != "") {
 			*v.to = x
 		}
@@ -97,6 +99,9 @@
 	if err := checkAddress("discovery (LB_DISCOVERY)", s.Discovery, 1); err != nil {
 		return nil, err
 	}
+	if err := checkAdmin(s.Admin, s.Listen); err != nil {
+		return nil, err
+	}
 	if f.Seed != "" {
 		if s.Seed, err = strconv.ParseUint(f.Seed, 16, 64); err != nil {
 			return nil, fmt.Errorf("seed: %q is not a number of up to 16 hex digits", f.Seed)
@@ -159,6 +164,22 @@
 	return min(given, most), nil
 }
 
+// checkAdmin checks the operators' address, where there is one: calls there must not meet the
+// submitters' listener.
+func checkAdmin(admin, listen string) error {
+	const key = "admin (LB_ADMIN)"
+	if admin == "" {
+		return nil
+	}
+	if err := checkAddress(key, admin, 0); err != nil {
+		return err
+	}
+	if _, port, _ := net.SplitHostPort(admin); admin == listen && port != "0" {
+		return fmt.Errorf("%s: %q is the address of listen too", key, admin)
+	}
+	return nil
+}
+
 func checkAddress(key, s string, leastPort int) error {
 	if s == "" {
 		return fmt.Errorf("%s: not given", key)
--- a/internal/config/settings.go
+++ b/internal/config/settings.go
@@ -236,6 +236,15 @@
 // one of its own. What the agent has counts as told from the scheduler's first moment.
 func (s *Settings) Pushed() bool { return s.Discovery == "automatic" }
 
+// ClassNames returns the names of all classes, in the settings' order.
+func (s *Settings) ClassNames() []string {
+	names := make([]string, len(s.Module.Classes))
+	for i, class := range s.Module.Classes {
+		names[i] = class.Name
+	}
+	return names
+}
+
 // Find looks a name up in one of the tables; -1 if it is not there.
 func Find(table map[string]int, name string) int {
 	if i, ok := table[name]; ok {
--- a/internal/core/admit.go
+++ b/internal/core/admit.go
@@ -40,3 +40,12 @@
 		Waited: max(0, c.clock.Now()-j.Arrived), Tried: j.base, Among: j.among,
 	}})
 }
+
+// countRefused counts the refusal of a job that has not been checked: its class may be unknown.
+func (c *Core) countRefused(j *Job) {
+	if _, known := c.settings.Classes[j.Class]; known {
+		c.counters.AddPart(VerdictCounters[Refused], j.Class)
+		return
+	}
+	c.counters.Add(VerdictCounters[Refused])
+}
--- a/internal/core/book.go
+++ b/internal/core/book.go
@@ -5,7 +5,9 @@
 // Stage 6, book: answers and ends of claims are counted, told to the module, and
 // the job leaves the table with the last of them.
 
-var verdictCounters = [...]string{
+// VerdictCounters names the counter of each verdict. Those of jobs that were taken are also kept
+// for each class.
+var VerdictCounters = [...]string{
 	Served: "jobs.served", Refused: "jobs.refused", Failed: "jobs.failed", Rejected: "jobs.rejected",
 }
 
@@ -23,12 +25,13 @@
 	j.answered.Store(true)
 	j.overdue.Stop()
 	delete(c.open, j.ID)
+	c.active.Store(int64(len(c.open)))
 	j.place.leave()
 	c.leaveKey(j)
 	j.cell.book(j, a.Verdict)
 	c.recent[j.ID] = true
 	c.after(c.longest, idForgotten{j.ID})
-	c.counters.Add(verdictCounters[a.Verdict])
+	c.counters.AddPart(VerdictCounters[a.Verdict], j.Class)
 	j.Submitter.Answer(a)
 	c.forget(j)
 }
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -81,6 +81,7 @@
 	stopped chan struct{}
 	stop    sync.Once
 	ready   atomic.Bool
+	active  atomic.Int64 // jobs taken and not yet answered
 
 	// Owned by run's goroutine.
 	jobs     map[uint64]*job
@@ -198,7 +199,7 @@
 		if !s.enter(c, j) {
 			c.ids.Delete(j.ID)
 			c.counters.Add("jobs.taken")
-			c.counters.Add("jobs.refused")
+			c.countRefused(j)
 			c.counters.Add("jobs.cell_full")
 			j.Submitter.Answer(Answer{Verdict: Refused, RetryAfter: c.fullRetry()})
 			return
--- a/internal/core/takein.go
+++ b/internal/core/takein.go
@@ -30,6 +30,7 @@
 	c.numbered++
 	j := &job{Job: e.job, number: c.numbered, class: class, tenant: tenant, deadline: e.job.Arrived + wait, cell: c.home(tenant, e.job.Key)}
 	c.jobs[j.number], c.open[j.ID] = j, j
+	c.active.Store(int64(len(c.open)))
 	// The module answers every job in time. Should it ever not, the submitter
 	// still gets an answer: a little later than the end of the last claim, which
 	// the module must hear of first.
--- a/internal/counters/counters.go
+++ b/internal/counters/counters.go
@@ -13,18 +13,45 @@
 type Set struct {
 	mu     sync.Mutex
 	values map[string]int64
+	parts  map[part]int64
 }
 
+// A part is the share of a counter that belongs to one label, such as a class.
+type part struct{ name, label string }
+
 // Add counts one.
 func (s *Set) Add(name string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.addLocked(name)
+}
+
+// AddPart counts one, and counts it as the label's part of the counter too. Labels are kept
+// for good: they must come from the settings, never from input.
+func (s *Set) AddPart(name, label string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.addLocked(name)
+	if s.parts == nil {
+		s.parts = map[part]int64{}
+	}
+	s.parts[part{name, label}]++
+}
+
+func (s *Set) addLocked(name string) {
 	if s.values == nil {
 		s.values = map[string]int64{}
 	}
 	s.values[name]++
 }
 
+// Part returns a label's part of a counter.
+func (s *Set) Part(name, label string) int64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.parts[part{name, label}]
+}
+
 // Get returns a counter's value.
 func (s *Set) Get(name string) int64 {
 	s.mu.Lock()
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -13,10 +13,12 @@
 
 	"go.uber.org/zap"
 
+	"github.com/vatu-meals/foxlift/internal/admin"
 	"github.com/vatu-meals/foxlift/internal/config"
 	"github.com/vatu-meals/foxlift/internal/control"
 	"github.com/vatu-meals/foxlift/internal/core"
 	"github.com/vatu-meals/foxlift/internal/counters"
+	"github.com/vatu-meals/foxlift/internal/metrics"
 	"github.com/vatu-meals/foxlift/internal/platform"
 )
 
@@ -39,6 +41,7 @@
 	text     []byte // of the operator's file
 	platform *platform.Platform
 	control  *control.Server
+	admin    *admin.Server
 }
 
 // Read reads and checks all of the configuration, and starts nothing.
@@ -94,14 +97,44 @@
 		}
 	}
 	if d.platform, err = platform.Start(cfg, d.Core, clock, d.Counters, o.Log); err != nil {
-		if d.control != nil {
-			d.control.Stop()
-		}
+		d.stopOperators()
+		return nil, err
+	}
+	if err := d.listenAdmin(); err != nil {
+		d.Kill()
 		return nil, err
 	}
 	return d, nil
 }
 
+// listenAdmin begins to serve the operators' address, where there is one.
+func (d *Daemon) listenAdmin() (err error) {
+	if d.Config.Admin == "" {
+		return nil
+	}
+	figures := metrics.Handler(d.Config.Settings.ClassNames(), d.Counters, d.Core)
+	d.admin, err = admin.Listen(d.Config.Admin, platform.AdminConnections(d.Config), d.platform, figures, d.options.Log)
+	return err
+}
+
+// stopOperators ends what operators reach the scheduler by.
+func (d *Daemon) stopOperators() {
+	if d.control != nil {
+		d.control.Stop()
+	}
+	if d.admin != nil {
+		d.admin.Stop()
+	}
+}
+
+// AdminAddr returns the operators' address; nil where there is none.
+func (d *Daemon) AdminAddr() net.Addr {
+	if d.admin == nil {
+		return nil
+	}
+	return d.admin.Addr()
+}
+
 // Addr returns the address on which submitters are served.
 func (d *Daemon) Addr() net.Addr { return d.platform.Addr() }
 
@@ -156,15 +189,11 @@
 // ShutDown ends the scheduler once everything taken is answered.
 func (d *Daemon) ShutDown() {
 	d.platform.ShutDown()
-	if d.control != nil {
-		d.control.Stop()
-	}
+	d.stopOperators()
 }
 
 // Kill ends the scheduler at once, as a kill of its process would for its peers.
 func (d *Daemon) Kill() {
 	d.platform.Kill()
-	if d.control != nil {
-		d.control.Stop()
-	}
+	d.stopOperators()
 }
--- /dev/null
+++ b/internal/metrics/metrics_test.go
@@ -0,0 +1,57 @@
+package metrics
+
+import (
+	"context"
+	"errors"
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	"github.com/vatu-meals/foxlift/internal/core"
+	"github.com/vatu-meals/foxlift/internal/counters"
+)
+
+type source struct {
+	pool core.Pool
+	err  error
+}
+
+func (s *source) Active() int                             { return 14 }
+func (s *source) Pool(context.Context) (core.Pool, error) { return s.pool, s.err }
+
+func TestFigures(t *testing.T) {
+	set := &counters.Set{}
+	for range 812 {
+		set.AddPart("jobs.served", "C")
+	}
+	set.AddPart("jobs.refused", `odd"name`)
+	set.AddPart("jobs.failed", "C")
+	set.Add(TriesCounter)
+	s := &source{pool: core.Pool{Size: 12, Ejected: 2}}
+	handler := Handler([]string{"C", `odd"name`}, set, s)
+	read := func() string {
+		w := httptest.NewRecorder()
+		handler.ServeHTTP(w, httptest.NewRequest("GET", "/admin/stats", nil))
+		return w.Body.String()
+	}
+	text := read()
+	for _, line := range []string{
+		`scheduler_responses_total{kind="C",result="ok"} 812`,
+		`scheduler_responses_total{kind="C",result="shed"} 0`,
+		`scheduler_responses_total{kind="C",result="errors"} 1`,
+		`scheduler_responses_total{kind="odd\"name",result="shed"} 1`,
+		"scheduler_tries_total 1", "scheduler_active 14", "scheduler_pool_size 12", "scheduler_pool_ejected 2",
+	} {
+		if !strings.Contains("\n"+text, "\n"+line+"\n") {
+			t.Errorf("no line %q in\n%s", line, text)
+		}
+	}
+	if set.Get("jobs.served") != 812 {
+		t.Errorf("the log's counter says %d", set.Get("jobs.served"))
+	}
+	// A core that is too busy to tell leaves the pool's last figures.
+	s.pool, s.err = core.Pool{}, errors.New("busy")
+	if text := read(); !strings.Contains(text, "scheduler_pool_size 12\n") {
+		t.Errorf("the pool's last size is not there:\n%s", text)
+	}
+}
--- a/internal/platform/attempt.go
+++ b/internal/platform/attempt.go
@@ -79,6 +79,7 @@
 	if code := conn.deliver(a.request(), a.nodes.holdTime(conn, a.job.Class), a.writeBy, may); code != foxlift.Served {
 		return ended(code), false
 	}
+	a.nodes.counters.Add("claims.written")
 	return a.receive(conn)
 }
 
--- /dev/null
+++ b/internal/platform/drain_test.go
@@ -0,0 +1,117 @@
+package platform
+
+import (
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+)
+
+// A drain turns the health at once, ends resting connections and those whose job is answered, loses
+// no job, and leaves the listener open; resume undoes it.
+func TestDrain(t *testing.T) {
+	release := make(chan struct{})
+	serve := func(c net.Conn, r *http.Request, id string) bool {
+		if id == "slow" {
+			<-release
+		}
+		return done(c, r, id)
+	}
+	p, set := start(t, "", newNode(t, serve), newNode(t, serve))
+	resting, working := connect(t, p), connect(t, p)
+	resting.send(t, jobText("reading", "before", "5000m", ""))
+	resting.answer(t)
+	working.send(t, jobText("ratify", "slow", "20000m", ""))
+	await(t, "a claim", func() bool { return set.Get("claims.written") == 2 })
+
+	p.Quiesce()
+	p.Quiesce()
+	check(t, "ready", p.Ready(), false)
+	check(t, "health", healthOf(t, p), http.StatusServiceUnavailable)
+	resting.Conn.SetReadDeadline(time.Now().Add(patience))
+	if _, err := resting.br.ReadByte(); err != io.EOF {
+		t.Errorf("the resting connection: %v, want its end", err)
+	}
+	late := connect(t, p)
+	late.send(t, jobText("reading", "late", "5000m", ""))
+	r, _ := late.answer(t)
+	check(t, "status of a job in the drain", r.StatusCode, http.StatusOK)
+	check(t, "its connection ends", r.Close, true)
+	close(release)
+	r, body := working.answer(t)
+	check(t, "status of the job at work", r.StatusCode, http.StatusOK)
+	check(t, "its result", body, "for slow")
+	check(t, "its connection ends", r.Close, true)
+	await(t, "no connection", func() bool {
+		p.front.mu.Lock()
+		defer p.front.mu.Unlock()
+		return len(p.front.all) == 0
+	})
+
+	p.Resume()
+	p.Resume()
+	check(t, "ready again", p.Ready(), true)
+	check(t, "health again", healthOf(t, p), http.StatusOK)
+	again := connect(t, p)
+	again.send(t, jobText("reading", "again", "5000m", ""))
+	r, _ = again.answer(t)
+	check(t, "the connection goes on", r.Close, false)
+	check(t, "drains begun", set.Get("drains.begun"), int64(1))
+	check(t, "drains ended", set.Get("drains.ended"), int64(1))
+}
+
+// Resume right after quiesce keeps the connections that have not been closed yet.
+func TestResumeRightAfterQuiesce(t *testing.T) {
+	p, _ := start(t, "", newNode(t, done))
+	s := connect(t, p)
+	s.send(t, jobText("reading", "a", "5000m", ""))
+	s.answer(t)
+	p.Quiesce()
+	p.Resume()
+	s.send(t, jobText("reading", "b", "5000m", ""))
+	r, _ := s.answer(t)
+	check(t, "status", r.StatusCode, http.StatusOK)
+	check(t, "the connection goes on", r.Close, false)
+}
+
+// A resume does not undo the end.
+func TestResumeAmidTheEnd(t *testing.T) {
+	p, _ := start(t, "", newNode(t, done))
+	p.Quiesce()
+	over := make(chan struct{})
+	go func() {
+		p.ShutDown()
+		close(over)
+	}()
+	await(t, "ending", p.front.ending.Load)
+	p.Resume()
+	check(t, "ready", p.Ready(), false)
+	<-over
+}
+
+// A request that stops half way in a drain is turned away and not held: it was never taken.
+func TestHalfRequestInDrain(t *testing.T) {
+	p, _ := start(t, "", newNode(t, done))
+	s := connect(t, p)
+	text := jobText("reading", "half", "5000m", "body")
+	s.send(t, text[:len(text)-1])
+	await(t, "the request has begun", func() bool {
+		p.front.mu.Lock()
+		defer p.front.mu.Unlock()
+		for c := range p.front.all {
+			return !c.awaiting
+		}
+		return false
+	})
+	p.Quiesce()
+	r, _ := s.answer(t)
+	check(t, "status", r.StatusCode, http.StatusServiceUnavailable)
+	check(t, "its connection ends", r.Close, true)
+}
+
+func healthOf(t *testing.T, p *Platform) int {
+	t.Helper()
+	r, _ := connect(t, p).ask(t, "GET "+pathHealth+" HTTP/1.1\r\nHost: app.svc\r\nConnection: close\r\n\r\n")
+	return r.StatusCode
+}
--- a/internal/platform/front.go
+++ b/internal/platform/front.go
@@ -34,6 +34,7 @@
 	ending   atomic.Bool   // health is 503
 	closing  atomic.Bool   // no more is accepted than waits already
 	leaving  atomic.Bool   // answers end their connections
+	drain    atomic.Pointer[drain]
 	accepted chan struct{} // closed when accept has returned
 
 	mu    sync.Mutex
@@ -57,7 +58,9 @@
 // nobody reads is lost.
 func (f *front) mostJobs() int { return f.budget - max(1, f.budget/jobsSpare) }
 
-func (f *front) ready() bool { return f.core.Ready() && !f.ending.Load() }
+func (f *front) ready() bool {
+	return f.core.Ready() && !f.ending.Load() && f.drain.Load() == nil
+}
 
 const (
 	headroom      = 16 // the part of the budget in which idle connections make way
@@ -262,6 +265,9 @@
 
 // readUntil is when a request that now begins must have come to its end.
 func (f *front) readUntil(s *submitter) time.Time {
+	if d := f.drain.Load(); d != nil {
+		return d.readUntil(time.Now())
+	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if s.jobs > 0 {
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -19,8 +19,18 @@
 const (
 	sparePart  = 16 // of all descriptors
 	spareLeast = 16
+	adminPart  = 32 // for the operators' address, where there is one
+	adminLeast = 8
 )
 
+// AdminConnections is how many connections the operators' address may hold; 0 where there is none.
+func AdminConnections(cfg *config.Scheduler) int {
+	if cfg.Admin == "" {
+		return 0
+	}
+	return max(adminLeast, cfg.Sockets/adminPart)
+}
+
 // moments is how long a scheduler that is told to end goes on taking what comes
 // in: new connections come for up to 0.4 s. Idle connections are to be closed
 // before 0.7 s are over, their grace included.
@@ -74,7 +84,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("listen (LB_LISTEN): %w", err)
 	}
-	half := (cfg.Sockets - max(spareLeast, cfg.Sockets/sparePart)) / 2
+	half := (cfg.Sockets - max(spareLeast, cfg.Sockets/sparePart) - AdminConnections(cfg)) / 2
 	front := newFront(c, clock, set, log, listener, half)
 	nodes := newNodes(list, cfg.Settings, set, half)
 	c.Connect(nodes, list, front.mostJobs())
@@ -104,6 +114,16 @@
 	return nil
 }
 
+// Ready reports whether submitters are served, and new ones may come.
+func (p *Platform) Ready() bool { return p.front.ready() }
+
+// Quiesce sends submitters away: the health turns 503, and their connections end once what they
+// carry is answered. What still comes is served.
+func (p *Platform) Quiesce() { p.front.quiesce() }
+
+// Resume ends that.
+func (p *Platform) Resume() { p.front.resume() }
+
 // Addr returns the address on which submitters are served.
 func (p *Platform) Addr() net.Addr { return p.front.listener.Addr() }
 
--- a/internal/platform/submitter.go
+++ b/internal/platform/submitter.go
@@ -97,12 +97,13 @@
 	proven := s.front.await(s)
 	defer s.front.awaited(s)
 	for {
-		limit := time.Time{}
-		if !proven {
-			limit = s.began.Add(readLimit)
-		}
+		drained := s.front.drain.Load()
+		limit := s.idleLimit(drained, proven)
 		// In this order: a wake-up between the two ends the wait below.
 		s.conn.SetReadDeadline(limit)
+		if s.front.drain.Load() != drained {
+			continue
+		}
 		if s.buf.buffered() > 0 {
 			return true
 		}
@@ -118,13 +119,27 @@
 		if err := s.buf.fill(); err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
 			return false
 		}
-		if !proven && s.buf.buffered() == 0 && !time.Now().Before(limit) {
-			s.front.counters.Add("bad.silent")
+		if s.buf.buffered() == 0 && !limit.IsZero() && !time.Now().Before(limit) {
+			if drained == nil {
+				s.front.counters.Add("bad.silent")
+			}
 			return false
 		}
 	}
 }
 
+// idleLimit is when the connection ends if no request has begun; zero for no such time. Only a
+// drain ends one that has brought a job before.
+func (s *submitter) idleLimit(d *drain, proven bool) time.Time {
+	switch {
+	case d != nil:
+		return d.idleUntil(s.began)
+	case !proven:
+		return s.began.Add(readLimit)
+	}
+	return time.Time{}
+}
+
 // exchange reads one request and answers it. It returns whether the connection
 // goes on.
 func (s *submitter) exchange() bool {
@@ -271,6 +286,8 @@
 		return bad(http.StatusBadRequest, counter, "malformed request: %v", err)
 	case errors.Is(m.err, errTooLong):
 		return bad(http.StatusRequestHeaderFieldsTooLarge, counter, "the request is too long")
+	case errors.Is(m.err, os.ErrDeadlineExceeded) && s.front.drain.Load() != nil:
+		return bad(http.StatusServiceUnavailable, "drained", "another scheduler takes jobs")
 	case errors.Is(m.err, os.ErrDeadlineExceeded):
 		return bad(http.StatusRequestTimeout, "slow", "the request did not come to its end")
 	}
@@ -279,7 +296,7 @@
 
 // write writes a reply and returns whether the connection may go on.
 func (s *submitter) write(r reply, ends bool) bool {
-	ends = ends || s.retire.Load() || s.front.leaving.Load()
+	ends = ends || s.retire.Load() || s.front.leaving.Load() || s.front.drain.Load() != nil
 	b := fmt.Appendf(make([]byte, 0, 160+len(r.body)), "HTTP/1.1 %d %s\r\nContent-Length: %d\r\n",
 		r.status, http.StatusText(r.status), len(r.body))
 	if r.retryAfter > 0 {
--- a/workers.go
+++ b/workers.go
@@ -187,3 +187,15 @@
 	}
 	return w.most * d.cfg.SlotMemory
 }
+
+// Ejected returns how many live workers get nothing, or one trial job at most, since attempts
+// there failed or were not started in time. Workers that are only full do not count.
+func (d *Dispatcher) Ejected() int {
+	n := 0
+	for _, w := range d.list {
+		if w.state == Live && (w.trial || w.overdue > 0) {
+			n++
+		}
+	}
+	return n
+}
