The dispatcher in nine files of one job each, moved unchanged

Every declaration is word for word what it was.

A new test fails for a file of the module that is neither listed nor says that it decides nothing.

--- a/api.go
+++ b/api.go
@@ -6,7 +6,8 @@
 // has happened, and carries out the actions that it returns. All times and
 // durations are in nanoseconds; the clock may begin anywhere but only advances.
 //
-// This file holds the whole interface; dispatcher.go holds every decision.
+// This file holds the whole interface; the files that deploy/balancer.toml lists under policy hold
+// every decision, dispatcher.go the step that calls them.
 //
 // The host carries out all actions, reports one outcome for each attempt, and
 // passes a timer's token when it is due. A host that breaks this gets no panic:
--- a/dispatcher_test.go
+++ b/dispatcher_test.go
@@ -5,7 +5,10 @@
 	"fmt"
 	"math"
 	"os"
+	"path/filepath"
 	"reflect"
+	"regexp"
+	"slices"
 	"strings"
 	"testing"
 )
@@ -99,23 +102,68 @@
 	return ws
 }
 
-func TestLineLimits(t *testing.T) {
-	f, err := os.Open("dispatcher.go")
+// policyFiles returns the files that deploy/balancer.toml lists as the ones that decide.
+func policyFiles(t *testing.T) []string {
+	t.Helper()
+	settings, err := os.ReadFile("deploy/balancer.toml")
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer f.Close()
+	list := regexp.MustCompile(`(?m)^policy = \[(.*)\]$`).FindSubmatch(settings)
+	if list == nil {
+		t.Fatal("deploy/balancer.toml has no list of policy files in one line")
+	}
+	var files []string
+	for name := range strings.SplitSeq(string(list[1]), ",") {
+		files = append(files, strings.Trim(name, ` "`))
+	}
+	return files
+}
+
+func TestLineLimits(t *testing.T) {
 	lines := 0
-	for sc := bufio.NewScanner(f); sc.Scan(); {
-		if strings.TrimSpace(sc.Text()) != "" {
-			lines++
+	for _, name := range policyFiles(t) {
+		f, err := os.Open(name)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer f.Close()
+		before := lines
+		for sc := bufio.NewScanner(f); sc.Scan(); {
+			if strings.TrimSpace(sc.Text()) != "" {
+				lines++
+			}
+			if len(sc.Text()) > 110 {
+				t.Errorf("%s: line of %d characters: %s", name, len(sc.Text()), sc.Text())
+			}
 		}
-		if len(sc.Text()) > 110 {
-			t.Errorf("line of %d characters: %s", len(sc.Text()), sc.Text())
+		if lines == before {
+			t.Errorf("%s is empty", name)
 		}
 	}
-	if lines == 0 || lines > 1200 {
-		t.Errorf("dispatcher.go has %d lines that are not blank, 1 to 1200 allowed", lines)
+	if lines > 1200 {
+		t.Errorf("the policy files have %d lines together that are not blank, 1200 allowed", lines)
+	}
+}
+
+// Every file of the module is listed as one that decides, or says that it does not.
+func TestEveryFileIsPolicyOrDecidesNothing(t *testing.T) {
+	policy := policyFiles(t)
+	files, err := filepath.Glob("*.go")
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, name := range files {
+		if strings.HasSuffix(name, "_test.go") || name == "api.go" || slices.Contains(policy, name) {
+			continue
+		}
+		text, err := os.ReadFile(name)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if !strings.Contains(string(text), " Nothing is decided here.\n") {
+			t.Errorf("%s is not listed under policy and does not say that nothing is decided there", name)
+		}
 	}
 }
 
--- /dev/null
+++ b/fair_share.go
@@ -0,0 +1,135 @@
+package foxlift
+
+// Fair sharing: bands and token buckets divide what is admitted among the tenants (paper, section 2).
+
+import (
+	"cmp"
+	"math"
+	"slices"
+)
+
+const (
+	rateGain = 0.3  // weight of the newest second in rates that are followed
+	peakKept = 0.98 // of a held peak, each second; less for many: their peaks add up to more than that of all
+	partGain = 0.05 // weight of the newest second in this dispatcher's part of the traffic
+)
+
+// split divides u among n tenants: whole bands first, then a part of the next by
+// its ratios, then what is left past the last band, which is returned apart.
+func split(u float64, bands []Band, n int) (rates []float64, past float64) {
+	rates = make([]float64, n)
+	for _, b := range bands {
+		sum, width := 0.0, min(u, b.Width)
+		for _, r := range b.Ratio {
+			sum += r
+		}
+		if sum <= 0 || width <= 0 {
+			continue
+		}
+		for i, r := range b.Ratio {
+			rates[i] += width * r / sum
+		}
+		u -= width
+	}
+	return rates, u
+}
+
+// refillRates sets the tenants' rates from u and this dispatcher's part of the
+// traffic. While the loop is open the bands are full.
+func (d *Dispatcher) refillRates() {
+	u := d.u
+	if d.open {
+		u = math.MaxFloat64
+	}
+	for i := range d.tenants {
+		t := &d.tenants[i]
+		t.offered += (float64(t.arrived) - t.offered) * rateGain
+		t.arrived = 0
+		t.past *= 1 - rateGain
+		for k := range t.classes {
+			t.classes[k].came *= 1 - rateGain/3
+			t.classes[k].sent *= 1 - rateGain/3
+		}
+	}
+	// Slowly: a part lasts, while a burst of all tenants looks like one and passes.
+	d.share += (d.part() - d.share) * max(partGain, 1/float64(d.period+1))
+	part, standing := max(d.share, 1/float64(d.cfg.Dispatchers)), d.standing()
+	rates, past := split(u, d.bands, len(d.tenants))
+	for i := range d.tenants {
+		t := &d.tenants[i]
+		t.rate = rates[i] * part * standing
+		if t.margin = 0; d.many() {
+			// A single job is over a rate of one in ten seconds, by chance: offered
+			// strays by this from the rate of a tenant within its share.
+			t.margin = 3 * math.Sqrt(t.rate*rateGain/(2-rateGain))
+		}
+	}
+	d.spareMax = past * part
+}
+
+// standing is the share of the fleet that is left after workers were lost: gone
+// without a drain, or back and still cold. Tenants' rates are shares of what the
+// whole fleet can do, and would admit more than the rest can bear. Workers that
+// drain are taken out on purpose, as traffic falls, and count for nothing.
+func (d *Dispatcher) standing() float64 {
+	able, whole := 0.0, 0.0
+	for _, w := range d.list {
+		w.lost = w.lost && (w.state == Gone || d.young(w))
+		if w.state == Live {
+			able += d.warmth(w)
+		}
+		if w.lost || w.state == Live && !d.young(w) {
+			whole++
+		}
+	}
+	if whole == 0 {
+		return 1 // nothing is known yet
+	}
+	return min(1, able/whole)
+}
+
+// part is the share of every tenant's rate that is this dispatcher's: an even one,
+// or more where more of the traffic comes here (an uneven front, a heavy client,
+// dead peers). Then the tenant in the middle, by quota, is taken to be within its
+// share; what tenants send against that one tells which of them are over theirs.
+func (d *Dispatcher) part() float64 {
+	even := 1 / float64(d.cfg.Dispatchers)
+	full, _ := split(math.MaxFloat64, d.bands, len(d.tenants))
+	var ratios [][2]float64 // what is offered here over the full rate, and that rate
+	sum := 0.0
+	for i, f := range full {
+		if f > 0 {
+			ratios = append(ratios, [2]float64{d.tenants[i].offered / f, f})
+			sum += f
+		}
+	}
+	slices.SortFunc(ratios, func(a, b [2]float64) int { return cmp.Compare(a[0], b[0]) })
+	for _, r := range ratios {
+		if sum -= 3 * r[1]; sum <= 0 {
+			return max(even, r[0])
+		}
+	}
+	return even
+}
+
+func (t *tenant) burst() float64 { return max(2, t.rate) }
+
+// over reports whether the tenant sends more here than its bands give it.
+func (t *tenant) over() bool { return t.offered > t.rate+t.margin }
+
+// refill adds the tokens of the time gone by. What a tenant does not use passes
+// to those that wait.
+func (d *Dispatcher) refill() {
+	dt := float64(d.now-d.refilled) / float64(second)
+	d.refilled = d.now
+	for i := range d.tenants {
+		t := &d.tenants[i]
+		t.tokens += t.rate * dt
+		if over := t.tokens - t.burst(); over > 0 {
+			t.tokens -= over
+			d.spare += over
+		}
+	}
+	d.spare += d.spareMax * dt
+	d.spare = min(d.spare, max(1, d.offered/4))
+}
--- /dev/null
+++ b/machine_list.go
@@ -0,0 +1,90 @@
+package foxlift
+
+// The machine list: when to ask discovery for it, and what its news changes.
+
+import "hash/fnv"
+
+func (d *Dispatcher) askForList() {
+	if c := &d.listCall; d.cfg.ListOnRequest && !c.joined && !c.waiting && d.now >= c.next {
+		c.waiting = true
+		d.actions = append(d.actions, Action{Kind: ActionSubscribe})
+	}
+}
+
+func (d *Dispatcher) onList(kind ListKind, entries []Worker) {
+	c := &d.listCall
+	c.joined, c.waiting = kind != ListFailed && (c.joined || c.waiting), false
+	if kind == ListFailed { // for all together: they spread out, within what counts as not asking
+		c.backoff = min(max(2*c.backoff, second/2), max(d.cfg.MustAskIn/2, second/2))
+		c.next = d.now + c.backoff/2 + d.rng.Int64N(c.backoff/2+1)
+		return
+	}
+	c.backoff = 0
+	d.lists++
+	for i := range entries {
+		d.onWorker(&entries[i])
+	}
+	for _, w := range d.list {
+		if kind != ListChanges && w.listed != d.lists {
+			w.setState(Gone, d.now)
+		}
+	}
+	d.collectLive()
+	if kind == ListSaved || d.window == 0 {
+		d.window = d.meanCap() * float64(len(d.live)) / d.crowd // nothing is known against it
+	}
+	for _, w := range d.list {
+		d.place(w)
+	}
+}
+
+func (d *Dispatcher) onWorker(e *Worker) {
+	w := d.workers[e.ID]
+	if w == nil {
+		h := fnv.New64a()
+		h.Write([]byte(e.ID))
+		w = &worker{id: e.ID, state: Gone, level: -1, hash: h.Sum64() * 0xff51afd7ed558ccd, up: -1}
+		w.cap = d.meanCap()
+		d.workers[e.ID] = w
+		d.list = append(d.list, w)
+	}
+	d.moveTo(w, -1) // its kind may change
+	w.setState(e.State, d.now)
+	w.zone, w.kind, w.cell, w.listed = e.Zone, e.Kind, e.Cell, d.lists
+	w.own, w.others = w.own+e.Others-w.others, e.Others
+	if w.kind+1 >= len(d.room) {
+		w.kind = -1
+	}
+	if w.up != e.Started {
+		d.restarted(w, e.Started)
+	}
+}
+
+// restarted forgets what was learned of a process that is no more. The first
+// send to a young worker is put off at random, or all would send at once.
+func (d *Dispatcher) restarted(w *worker, at int64) {
+	w.up, w.shut, w.backoff, w.trial, w.failing, w.slow = at, 0, 0, false, 0, 0
+	w.loaded, w.conns, w.since, w.keys, w.good, w.bad = false, 0, 0, nil, 0, 0
+	w.cap, w.capped = d.meanCap(), false
+	if d.young(w) && d.coldSent(w) == 0 {
+		w.coldFrom, w.coldWork = w.up, float64(d.lightest())*d.rng.Float64()
+	}
+}
+
+// meanCap is what a worker counts at until it answers.
+func (d *Dispatcher) meanCap() float64 {
+	sum, n := 0.0, 0.0
+	for _, w := range d.list {
+		if w.capped && w.state == Live {
+			sum += w.cap
+			n++
+		}
+	}
+	if n == 0 {
+		return 4
+	}
+	return sum / n
+}
+
+// keepGone is how long a worker that is gone counts as lost and may come back as itself.
+const keepGone = 60 * second
--- /dev/null
+++ b/queue.go
@@ -0,0 +1,61 @@
+package foxlift
+
+// The tenants' queues of held jobs. Nothing is decided here.
+
+import "slices"
+
+// tenantOf finds a tenant; requests of none share one of their own.
+func (d *Dispatcher) tenantOf(i int) *tenant {
+	if i < 0 || i >= len(d.cfg.Tenants) {
+		i = len(d.tenants) - 1
+	}
+	return &d.tenants[i]
+}
+
+// hold puts a job into its tenant's queue.
+func (d *Dispatcher) hold(j *job) {
+	j.queued = true
+	j.tenant.queues[j.req.Class] = append(j.tenant.queues[j.req.Class], j)
+}
+
+// drop takes a job out of its tenant's queue.
+func (t *tenant) drop(j *job) {
+	k := j.req.Class
+	if i := slices.Index(t.queues[k], j); i >= 0 {
+		t.queues[k] = slices.Delete(t.queues[k], i, i+1)
+	}
+	j.queued = false
+}
+
+// next returns the oldest job of a queue, or for a tenant over its share the newest,
+// of those that this round has not found without a worker; nil if there is none.
+func (t *tenant) next(q []*job, round int64) *job {
+	for i := range q {
+		j := q[i]
+		if t.over() {
+			j = q[len(q)-1-i]
+		}
+		if j.blocked != round {
+			return j
+		}
+	}
+	return nil
+}
+
+// waiting reports whether the tenant has jobs held.
+func (t *tenant) waiting() bool {
+	return slices.ContainsFunc(t.queues, func(q []*job) bool { return len(q) > 0 })
+}
+
+// endScouting holds the jobs whose scouting is done.
+func (d *Dispatcher) endScouting(done func(*job) bool) {
+	d.scouting = slices.DeleteFunc(d.scouting, func(j *job) bool {
+		if !j.ended && !done(j) {
+			return false
+		}
+		if !j.ended {
+			d.hold(j)
+		}
+		return true
+	})
+}
--- a/state.go
+++ b/state.go
@@ -1,6 +1,6 @@
 package foxlift
 
-// The state that dispatcher.go decides on, and the containers that hold it.
+// The state that the decisions are made on, and the containers that hold it.
 // Nothing is decided here.
 
 import (
@@ -11,6 +11,67 @@
 	"github.com/vatu-meals/foxlift/internal/coldstart"
 )
 
+// A Dispatcher makes the decisions of one scheduler. It sees only its own traffic.
+type Dispatcher struct {
+	cfg             Config
+	rng             *rand.Rand
+	now             int64
+	crowd           float64 // how many times more dispatchers there are than a few
+	began           int64   // time of the first step; -1 before it
+	tick, tickAt    int64   // between looks at what is held and overdue; the next of them
+	regulAt, period int64   // next run of the regulator, and its number
+	actions         []Action
+
+	jobs       map[uint64]*job
+	out        []*attempt // in flight
+	resend     []*job     // sent before, waiting to be sent again
+	repeatable bool       // some class may be repeated
+	copies     float64    // of overdue jobs that may be sent
+	scouting   []*job     // waiting for news of some workers
+	urgent     []*job     // came just before their deadline, or too late to be in time
+
+	classes  []classLoop
+	u        float64 // admission rate of the whole fleet, jobs a second
+	open     bool    // u is at its maximum: the loop does not throttle
+	offered  float64 // jobs a second that arrive here
+	arrived  int
+	peers    []peer
+	untold   []*worker // where something changed that peers have not been told
+	told     uint16    // number of the last message
+	life     byte      // of this dispatcher, in its messages
+	tenants  []tenant
+	bands    []Band
+	share    float64 // of the traffic that comes here, slowly followed
+	spare    float64 // tokens past the bands, and unused ones, for any tenant
+	spareMax float64
+	refilled int64
+	round    int64 // of dispatch
+
+	workers  map[string]*worker
+	list     []*worker     // in the order first heard of
+	room     [][][]*worker // by kind+1, then by own count: workers that may get a job
+	levels   int           // most levels of any kind
+	joined   []*worker     // of several kinds, for roomAt
+	live     []*worker     // the live ones
+	keys     keyLog        // of the last jobs
+	inflight float64       // slots of our jobs in flight
+	waits    int           // attempts sent that have not started, on workers that may be well
+	window   float64       // how many of them the fleet starts without delay
+	usual    mean          // pressure that load reports show
+	fresh    [4]*worker    // the last that reported
+	freshAt  int
+	fade     int64    // time in which a load report loses its meaning
+	starts   mean     // delay from sending to the start
+	least    [4]int64 // the least delay, by attempt.way
+	warmRate float64  // slots that each warm worker has at work for us
+	warmNow  float64  // the same, lately
+	served   float64
+	listCall listCall
+	turns    coldstart.Turns // at young workers, where no rate is known
+	light    float64         // the least aim: what a light job stands for there
+	lists    int64           // number of list events
+}
+
 // A job is a request that is held, in flight, or ended with attempts still out.
 type job struct {
 	id            uint64
@@ -261,41 +322,6 @@
 	}
 }
 
-// hold puts a job into its tenant's queue.
-func (d *Dispatcher) hold(j *job) {
-	j.queued = true
-	j.tenant.queues[j.req.Class] = append(j.tenant.queues[j.req.Class], j)
-}
-
-// drop takes a job out of its tenant's queue.
-func (t *tenant) drop(j *job) {
-	k := j.req.Class
-	if i := slices.Index(t.queues[k], j); i >= 0 {
-		t.queues[k] = slices.Delete(t.queues[k], i, i+1)
-	}
-	j.queued = false
-}
-
-// next returns the oldest job of a queue, or for a tenant over its share the newest,
-// of those that this round has not found without a worker; nil if there is none.
-func (t *tenant) next(q []*job, round int64) *job {
-	for i := range q {
-		j := q[i]
-		if t.over() {
-			j = q[len(q)-1-i]
-		}
-		if j.blocked != round {
-			return j
-		}
-	}
-	return nil
-}
-
-// waiting reports whether the tenant has jobs held.
-func (t *tenant) waiting() bool {
-	return slices.ContainsFunc(t.queues, func(q []*job) bool { return len(q) > 0 })
-}
-
 // onQuotas takes over new shares. Tokens stay as they are: nobody gains by a change.
 func (d *Dispatcher) onQuotas(quotas []float64) {
 	if len(quotas) != len(d.cfg.Tenants) {
@@ -321,24 +347,3 @@
 	}
 	return true
 }
-
-// tenantOf finds a tenant; requests of none share one of their own.
-func (d *Dispatcher) tenantOf(i int) *tenant {
-	if i < 0 || i >= len(d.cfg.Tenants) {
-		i = len(d.tenants) - 1
-	}
-	return &d.tenants[i]
-}
-
-// endScouting holds the jobs whose scouting is done.
-func (d *Dispatcher) endScouting(done func(*job) bool) {
-	d.scouting = slices.DeleteFunc(d.scouting, func(j *job) bool {
-		if !j.ended && !done(j) {
-			return false
-		}
-		if !j.ended {
-			d.hold(j)
-		}
-		return true
-	})
-}
