--- /dev/null
+++ b/internal/core/cell_nodes.go
@@ -0,0 +1,84 @@
+package core
+
+// Which cell's module decides on a node, and what each module is told of its nodes.
+
+import (
+	"slices"
+
+	"github.com/vatu-meals/foxlift"
+	"github.com/vatu-meals/foxlift/internal/cells"
+)
+
+// spread tells each cell's module of the nodes that are its own. A node that goes to
+// another cell looks to the module that had it like one that drains; the module that
+// gets it hears how much of others is still out there, and counts it.
+func (c *Core) spread(kind foxlift.ListKind, told []foxlift.Worker) {
+	var live []cells.Node
+	for _, n := range c.order {
+		if n.State == foxlift.Live {
+			live = append(live, cells.Node{ID: n.ID, Zone: n.Zone, Kind: n.Kind})
+		}
+	}
+	s := c.scheme.Load()
+	s = s.with(s.layout.WithChanges(c.assigner.Update(live)))
+	c.scheme.Store(s)
+	touched := map[string]bool{}
+	for _, w := range told {
+		touched[w.ID] = true
+	}
+	lists := make([][]foxlift.Worker, len(c.cells))
+	for _, n := range c.order {
+		old := n.cell
+		if i, ok := s.layout.NodeCell(n.ID); ok {
+			n.cell = c.cells[i]
+		} // else it stays with the module that knows it, to its end
+		if n.cell == nil {
+			continue
+		}
+		if old != nil && old != n.cell {
+			c.counters.Add("cells.nodes_moved")
+			w := n.Worker
+			w.State = foxlift.Draining
+			at := slices.Index(c.cells, old)
+			lists[at] = append(lists[at], w)
+		}
+		if whole := kind != foxlift.ListChanges && n.State != foxlift.Gone; whole || touched[n.ID] || old != n.cell {
+			at := slices.Index(c.cells, n.cell)
+			lists[at] = append(lists[at], n.seenBy(n.cell))
+		}
+	}
+	for i, cl := range c.cells {
+		cl.tell(foxlift.Event{Kind: foxlift.EventList, List: kind, Workers: lists[i]})
+	}
+}
+
+// seenBy returns a node's entry for a cell's module.
+func (n *entry) seenBy(cl *cell) foxlift.Worker {
+	w := n.Worker
+	for other, slots := range n.out {
+		if other != cl {
+			w.Others += slots
+		}
+	}
+	return w
+}
+
+// count follows which cell has how much out on a node, and tells the module that
+// decides on the node of what is not its own.
+func (c *Core) count(cl *claim, by float64) {
+	n := c.known[cl.node]
+	if n == nil || c.scheme.Load() == nil {
+		return
+	}
+	slots := cl.job.Slots
+	if slots <= 0 {
+		slots = 1
+	}
+	n.out[cl.cell] += by * slots
+	if n.out[cl.cell] <= 1e-9 {
+		delete(n.out, cl.cell)
+	}
+	if n.cell != nil && n.cell != cl.cell {
+		n.cell.tell(foxlift.Event{Kind: foxlift.EventList, List: foxlift.ListChanges, Workers: []foxlift.Worker{n.seenBy(n.cell)}})
+	}
+}
