--- /dev/null
+++ b/internal/wire/decode_list.go
@@ -0,0 +1,108 @@
+package wire
+
+// Decoding of the machine list, and the interning of workers' names.
+
+import (
+	"fmt"
+
+	"github.com/valyala/fastjson"
+
+	"github.com/vatu-meals/foxlift"
+)
+
+var listKinds = map[string]foxlift.ListKind{
+	"incr": foxlift.ListChanges, "total": foxlift.ListFull,
+	"warm_copy": foxlift.ListSaved, "lost": foxlift.ListFailed,
+}
+
+var states = map[string]foxlift.WorkerState{
+	"live": foxlift.Live, "quiescing": foxlift.Draining, "dead": foxlift.Gone,
+}
+
+func (d *Decoder) list(n *Names, f []*fastjson.Value) error {
+	scope, err := text(f[2], "scope")
+	if err != nil {
+		return err
+	}
+	kind, ok := listKinds[string(scope)]
+	if !ok {
+		return fmt.Errorf("unknown scope %q", scope)
+	}
+	d.event.Kind, d.event.List = foxlift.EventList, kind
+	d.entries = d.entries[:0]
+	if !absent(f[4]) {
+		items, err := array(f[4], "items")
+		if err != nil {
+			return err
+		}
+		for i, it := range items {
+			w, err := n.entry(it)
+			if err != nil {
+				return fmt.Errorf("entry %d: %w", i, err)
+			}
+			d.entries = append(d.entries, w)
+		}
+	}
+	d.event.Workers = d.entries
+	return nil
+}
+
+func (n *Names) entry(v *fastjson.Value) (w foxlift.Worker, err error) {
+	f, err := array(v, "entry")
+	if err != nil {
+		return w, err
+	}
+	if len(f) < 7 {
+		return w, fmt.Errorf("%d values, want 7", len(f))
+	}
+	id, err := text(f[0], "worker")
+	if err != nil {
+		return w, err
+	}
+	w.ID = n.intern(id)
+	w.Zone, w.Kind = n.find(n.zones, f[1]), n.find(n.kinds, f[2])
+	cell, err := optional(f[3], "block")
+	if err != nil {
+		return w, err
+	}
+	w.Cell = int(cell)
+	state, err := text(f[4], "stageState")
+	if err != nil {
+		return w, err
+	}
+	s, ok := states[string(state)]
+	if !ok {
+		return w, fmt.Errorf("unknown state %q", state)
+	}
+	w.State = s
+	if !absent(f[6]) {
+		w.Started, err = integer(f[6], "cameUp")
+	}
+	return w, err
+}
+
+func (n *Names) find(table map[string]int, v *fastjson.Value) int {
+	if v.Type() == fastjson.TypeString {
+		if i, ok := table[string(v.GetStringBytes())]; ok {
+			return i
+		}
+	}
+	return -1
+}
+
+func (n *Names) intern(id []byte) string {
+	s, ok := n.workers[string(id)]
+	if !ok {
+		s = string(id)
+		n.workers[s] = s
+	}
+	return s
+}
+
+func (n *Names) worker(v *fastjson.Value) (string, error) {
+	s, err := text(v, "worker")
+	if err != nil {
+		return "", err
+	}
+	return n.intern(s), nil
+}
--- /dev/null
+++ b/internal/wire/values.go
@@ -0,0 +1,62 @@
+package wire
+
+// Readers of single JSON values, whose errors name the value.
+
+import (
+	"fmt"
+
+	"github.com/valyala/fastjson"
+)
+
+func absent(v *fastjson.Value) bool { return v == nil || v.Type() == fastjson.TypeNull }
+
+func array(v *fastjson.Value, name string) ([]*fastjson.Value, error) {
+	if v == nil || v.Type() != fastjson.TypeArray {
+		return nil, fmt.Errorf("%s is not an array", name)
+	}
+	return v.GetArray(), nil
+}
+
+func text(v *fastjson.Value, name string) ([]byte, error) {
+	if v == nil || v.Type() != fastjson.TypeString {
+		return nil, fmt.Errorf("%s is not a string", name)
+	}
+	return v.GetStringBytes(), nil
+}
+
+func integer(v *fastjson.Value, name string) (int64, error) {
+	if v != nil && v.Type() == fastjson.TypeNumber {
+		if x, err := v.Int64(); err == nil {
+			return x, nil
+		}
+	}
+	return 0, fmt.Errorf("%s is not a whole number", name)
+}
+
+func unsigned(v *fastjson.Value, name string) (uint64, error) {
+	if v != nil && v.Type() == fastjson.TypeNumber {
+		if x, err := v.Uint64(); err == nil {
+			return x, nil
+		}
+	}
+	return 0, fmt.Errorf("%s is not a whole number", name)
+}
+
+func number(v *fastjson.Value, name string) (float64, error) {
+	if absent(v) {
+		return 0, nil
+	}
+	if v.Type() != fastjson.TypeNumber {
+		return 0, fmt.Errorf("%s is not a number", name)
+	}
+	return v.Float64()
+}
+
+func optional(v *fastjson.Value, name string) (float64, error) { return number(v, name) }
+
+func boolean(v *fastjson.Value, name string) (bool, error) {
+	if v == nil || v.Type() != fastjson.TypeTrue && v.Type() != fastjson.TypeFalse {
+		return false, fmt.Errorf("%s is not true or false", name)
+	}
+	return v.Type() == fastjson.TypeTrue, nil
+}
