Upgrades: a second process takes over the clients' address without a job turned back

Seen: the second process ended with exit code 1 (net.ListenTCP: address in use), 21 jobs lost at the end of the old one.

Change: internal/upgrade (places by locks on bytes of a file in TMPDIR, SO_REUSEPORT, steering to the newer listener), platform divided into New, Listen, Follow, Accept, HandOver; the new process listens once discovery has answered, the old one keeps its health at yes, empties its accept queue and ends its connections with their answers; descriptors and memory are halved while both are there.

--- a/cmd/foxlift/main.go
+++ b/cmd/foxlift/main.go
@@ -72,6 +72,10 @@
 	cmd.RegisterFlagCompletionFunc("log-level", words(logging.Levels))
 }
 
+// limitMemory tells the collector of half of what the process may use: the rest is for stacks, the
+// kernel's part and what the collector misses.
+func limitMemory(bytes int64) { debug.SetMemoryLimit(bytes / 2) }
+
 func (s *serving) run() error {
 	// Each kind has its own channel: none is lost while another is being seen to. A
 	// SIGHUP before the start counts after it; amid the end it does nothing.
@@ -84,17 +88,20 @@
 		return err
 	}
 	runtime.GOMAXPROCS(1) // a scheduler has one core
-	d, err := daemon.Start(daemon.Options{Getenv: os.Getenv, Operator: s.operator, Log: log, Version: versionText()})
+	d, err := daemon.Start(daemon.Options{
+		Getenv: os.Getenv, Operator: s.operator, Log: log, Version: versionText(), LimitMemory: limitMemory,
+	})
 	if err != nil {
 		return err
 	}
-	debug.SetMemoryLimit(int64(d.Config.MemoryMB) << 20 / 2) // the rest is for stacks, the kernel's part and what the collector misses
 	log = log.With(zap.String("name", d.Config.Name))
-	log.Info("it listens", zap.Stringer("address", d.Addr()))
 	for running := true; running; {
 		select {
 		case <-ends:
 			running = false
+		case err := <-d.Failed():
+			d.Kill()
+			return err
 		case <-asks:
 			d.Counters.Print(os.Stderr)
 		case <-reloads:
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -131,15 +131,29 @@
 // Connect sets what the core acts through, and how many jobs a front can hold
 // open; more are refused at once.
 func (c *Core) Connect(n Nodes, m MachineList, most int) {
-	c.nodes, c.machines, c.most = n, m, most
-	if s := c.settings.MaxOpen; s > 0 {
-		c.most = min(most, s)
-	}
+	c.nodes, c.machines, c.most = n, m, c.boundOpen(most)
 	if s := c.scheme.Load(); s != nil {
 		c.scheme.Store(newScheme(s.layout, c.most))
 	}
 }
 
+// SetMost changes how many jobs a front can hold open.
+func (c *Core) SetMost(most int) { c.post(mostChanged{most}) }
+
+type mostChanged struct{ most int }
+
+func (e mostChanged) apply(c *Core) {
+	c.most = c.boundOpen(e.most) // cells keep their bounds: they are parts of the whole
+}
+
+// boundOpen is how many jobs may be open where a front can hold so many.
+func (c *Core) boundOpen(most int) int {
+	if s := c.settings.MaxOpen; s > 0 {
+		return min(most, s)
+	}
+	return most
+}
+
 // ConnectPeers sets through whom the module's messages go. It is called before Start, and
 // only where the settings allow messages.
 func (c *Core) ConnectPeers(p Peers) { c.peers = p }
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -9,6 +9,8 @@
 	"fmt"
 	"net"
 	"os"
+	"sync"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -20,6 +22,7 @@
 	"github.com/vatu-meals/foxlift/internal/counters"
 	"github.com/vatu-meals/foxlift/internal/metrics"
 	"github.com/vatu-meals/foxlift/internal/platform"
+	"github.com/vatu-meals/foxlift/internal/upgrade"
 )
 
 // Options are what a scheduler is started with besides its configuration.
@@ -28,6 +31,10 @@
 	Operator string              // path of the operator's file; "": none
 	Log      *zap.Logger
 	Version  string
+
+	// LimitMemory is told of how many bytes the process may use, at the start and whenever that
+	// changes, as another process of the scheduler comes or goes; nil: nobody is told.
+	LimitMemory func(bytes int64)
 }
 
 // A Daemon is a running scheduler.
@@ -40,8 +47,17 @@
 	operator *config.Operator
 	text     []byte // of the operator's file
 	platform *platform.Platform
-	control  *control.Server
+	control  atomic.Pointer[control.Server]
 	admin    *admin.Server
+	log      *zap.Logger
+
+	place   *upgrade.Place // nil where no other process can take over
+	serving atomic.Bool    // submitters are served
+	failed  chan error     // holds one: why the scheduler cannot serve, after the start
+	ending  chan struct{}  // closed at the end,
+	end     sync.Once      // once
+	mu      sync.Mutex     // of the steps from starting to serving, and to the end
+	ended   bool
 }
 
 // Read reads and checks all of the configuration, and starts nothing.
@@ -69,7 +85,8 @@
 	return op, text, err
 }
 
-// Start starts a scheduler. It serves when Start returns.
+// Start starts a scheduler. It serves when Start returns, unless it takes over from another process:
+// then it serves once it is ready.
 func Start(o Options) (*Daemon, error) {
 	cfg, op, text, err := Read(o)
 	if err != nil {
@@ -84,43 +101,91 @@
 }
 
 func start(o Options, cfg *config.Scheduler, op *config.Operator, text []byte) (*Daemon, error) {
-	d := &Daemon{Config: cfg, Counters: &counters.Set{}, options: o, operator: op, text: text}
+	d := &Daemon{
+		Config: cfg, Counters: &counters.Set{}, options: o, operator: op, text: text,
+		log: o.Log.With(zap.String("name", cfg.Name)), failed: make(chan error, 1), ending: make(chan struct{}),
+	}
 	clock := core.NewClock()
 	var err error
 	if d.Core, err = core.New(cfg.Settings, op.Cells, cfg.Seed, clock, d.Counters); err != nil {
 		return nil, fmt.Errorf("settings: %w", err)
 	}
-	if op.ControlSocket != "" {
-		d.control = &control.Server{Core: d.Core, Settings: cfg.Settings, Counters: d.Counters, Name: cfg.Name, Version: o.Version}
-		if err := d.control.Start(op.ControlSocket); err != nil {
-			return nil, err
-		}
+	if d.platform, err = platform.New(cfg, d.Core, clock, d.Counters, o.Log); err != nil {
+		return nil, err
 	}
-	if d.platform, err = platform.Start(cfg, d.Core, clock, d.Counters, o.Log); err != nil {
+	if err := d.begin(); err != nil {
 		d.stopOperators()
 		return nil, err
 	}
+	return d, nil
+}
+
+// begin lets operators in and serves, at once or, where another process still serves, later.
+func (d *Daemon) begin() error {
 	if err := d.listenAdmin(); err != nil {
-		d.Kill()
-		return nil, err
+		return err
 	}
-	return d, nil
+	if err := d.takePlace(); err != nil {
+		return err
+	}
+	if d.place != nil && d.place.Successor() {
+		go d.succeed()
+		return nil
+	}
+	if err := d.startControl(); err != nil {
+		return err
+	}
+	d.share(alone)
+	if err := d.serve(); err != nil {
+		return err
+	}
+	if d.place != nil {
+		go d.watchOther()
+	}
+	return nil
+}
+
+// startControl begins to serve the control socket, where the operator's file has one.
+func (d *Daemon) startControl() error {
+	if d.operator.ControlSocket == "" {
+		return nil
+	}
+	server := &control.Server{
+		Core: d.Core, Settings: d.Config.Settings, Counters: d.Counters, Name: d.Config.Name, Version: d.options.Version,
+	}
+	if err := server.Start(d.operator.ControlSocket); err != nil {
+		return err
+	}
+	d.control.Store(server)
+	return nil
 }
 
+// Failed brings the error, if any, for which the scheduler cannot serve after its start.
+func (d *Daemon) Failed() <-chan error { return d.failed }
+
+// Ready implements admin.Scheduler.
+func (d *Daemon) Ready() bool { return d.serving.Load() && d.platform.Ready() }
+
+// Quiesce implements admin.Scheduler.
+func (d *Daemon) Quiesce() { d.platform.Quiesce() }
+
+// Resume implements admin.Scheduler.
+func (d *Daemon) Resume() { d.platform.Resume() }
+
 // listenAdmin begins to serve the operators' address, where there is one.
 func (d *Daemon) listenAdmin() (err error) {
 	if d.Config.Admin == "" {
 		return nil
 	}
 	figures := metrics.Handler(d.Config.Settings.ClassNames(), d.Counters, d.Core)
-	d.admin, err = admin.Listen(d.Config.Admin, platform.AdminConnections(d.Config), d.platform, figures, d.options.Log)
+	d.admin, err = admin.Listen(d.Config.Admin, platform.AdminConnections(d.Config), d, figures, d.log)
 	return err
 }
 
 // stopOperators ends what operators reach the scheduler by.
 func (d *Daemon) stopOperators() {
-	if d.control != nil {
-		d.control.Stop()
+	if control := d.control.Load(); control != nil {
+		control.Stop()
 	}
 	if d.admin != nil {
 		d.admin.Stop()
@@ -135,7 +200,7 @@
 	return d.admin.Addr()
 }
 
-// Addr returns the address on which submitters are served.
+// Addr returns the address on which submitters are served, once they are.
 func (d *Daemon) Addr() net.Addr { return d.platform.Addr() }
 
 const replanLimit = 5 * time.Second // for the core to take over another plan of cells
@@ -186,14 +251,15 @@
 	return nil
 }
 
-// ShutDown ends the scheduler once everything taken is answered.
-func (d *Daemon) ShutDown() {
-	d.platform.ShutDown()
-	d.stopOperators()
-}
-
 // Kill ends the scheduler at once, as a kill of its process would for its peers.
 func (d *Daemon) Kill() {
+	d.end.Do(func() { close(d.ending) })
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.ended = true
 	d.platform.Kill()
 	d.stopOperators()
+	if d.place != nil {
+		d.place.Leave()
+	}
 }
--- a/internal/platform/deployments_test.go
+++ b/internal/platform/deployments_test.go
@@ -175,6 +175,9 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	if err := p.open(false); err != nil {
+		t.Fatal(err)
+	}
 	defer p.stop()
 	to := p.conn.LocalAddr()
 	now := func() int64 { return clock.Now() / 1000 }
--- a/internal/platform/drain.go
+++ b/internal/platform/drain.go
@@ -48,6 +48,11 @@
 	}
 }
 
+// sendsAway reports whether answers end their connections.
+func (f *front) sendsAway() bool {
+	return f.leaving.Load() || f.relieved.Load() || f.drain.Load() != nil
+}
+
 // wakeIdle lets every idle connection look at how long it may rest.
 func (f *front) wakeIdle() {
 	f.mu.Lock()
--- a/internal/platform/front.go
+++ b/internal/platform/front.go
@@ -33,9 +33,11 @@
 	grace    time.Duration // for a request that crosses the end of an idle connection
 	ending   atomic.Bool   // health is 503
 	closing  atomic.Bool   // no more is accepted than waits already
-	leaving  atomic.Bool   // answers end their connections
+	leaving  atomic.Bool   // answers end their connections, and idle ones end
+	relieved atomic.Bool   // another process has the address: answers end their connections
 	drain    atomic.Pointer[drain]
 	accepted chan struct{} // closed when accept has returned
+	closed   chan struct{} // closed when shutDown has closed the listener
 
 	mu    sync.Mutex
 	freed *sync.Cond // a connection has ended
@@ -47,16 +49,32 @@
 func newFront(c *core.Core, clock core.Clock, set *counters.Set, log *zap.Logger, l listener, budget int) *front {
 	f := &front{
 		core: c, clock: clock, counters: set, log: log, listener: l, budget: budget, grace: graceTime,
-		accepted: make(chan struct{}), all: map[*submitter]struct{}{}, idle: list.New(), cells: map[string]int{},
+		accepted: make(chan struct{}), closed: make(chan struct{}), all: map[*submitter]struct{}{}, idle: list.New(), cells: map[string]int{},
 	}
 	f.freed = sync.NewCond(&f.mu)
 	return f
 }
 
-// mostJobs is how many jobs may be open. Each holds a connection, and some must be
+// setListener sets where connections come from. It is called before accept.
+func (f *front) setListener(l listener) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.listener = l
+}
+
+// setBudget changes how many connections there may be; where there are more, idle ones make way.
+func (f *front) setBudget(budget int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.budget = budget
+	f.makeRoomLocked(len(f.all) - budget)
+	f.freed.Broadcast()
+}
+
+// mostJobs is how many jobs may be open under a budget. Each holds a connection, and some must be
 // left for others to be read and refused on: what the kernel has accepted and
 // nobody reads is lost.
-func (f *front) mostJobs() int { return f.budget - max(1, f.budget/jobsSpare) }
+func mostJobs(budget int) int { return budget - max(1, budget/jobsSpare) }
 
 func (f *front) ready() bool {
 	return f.core.Ready() && !f.ending.Load() && f.drain.Load() == nil
@@ -282,7 +300,6 @@
 // are closed, and it returns when all are answered.
 func (f *front) shutDown(moments, stay time.Duration) {
 	left := time.After(stay)
-	f.ending.Store(true)
 	<-time.After(moments)
 	f.mu.Lock()
 	f.closing.Store(true)
@@ -291,6 +308,7 @@
 	f.mu.Unlock()
 	<-f.accepted // what the kernel has accepted counts as taken: it is served too
 	f.listener.Close()
+	close(f.closed)
 	<-left
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/internal/platform/nodes.go
+++ b/internal/platform/nodes.go
@@ -137,7 +137,17 @@
 func (n *nodes) reserve() error {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	if n.open >= n.budget {
+	if !n.makeRoomLocked(n.budget - 1) {
+		return errBudget
+	}
+	n.open++
+	return nil
+}
+
+// makeRoomLocked closes the longest idle connections until so many are open; false if more are
+// in use.
+func (n *nodes) makeRoomLocked(most int) bool {
+	for n.open > most {
 		var oldest *nodeConn
 		for _, stack := range n.idle {
 			if oldest == nil || stack[0].since.Before(oldest.since) {
@@ -145,14 +155,21 @@
 			}
 		}
 		if oldest == nil {
-			return errBudget
+			return false
 		}
 		n.takeLocked(oldest)
 		oldest.Close()
 		n.open--
 	}
-	n.open++
-	return nil
+	return true
+}
+
+// setBudget changes how many connections there may be.
+func (n *nodes) setBudget(budget int) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.budget = budget
+	n.makeRoomLocked(budget)
 }
 
 // take returns a connection to a node, an idle one if there is any. Without
--- a/internal/platform/peers.go
+++ b/internal/platform/peers.go
@@ -8,10 +8,12 @@
 	"net"
 	"net/netip"
 	"slices"
+	"sync"
 
 	"github.com/vatu-meals/foxlift/internal/config"
 	"github.com/vatu-meals/foxlift/internal/core"
 	"github.com/vatu-meals/foxlift/internal/counters"
+	"github.com/vatu-meals/foxlift/internal/upgrade"
 )
 
 // A datagram between schedulers: a mark with the form's version and the time at which it
@@ -89,6 +91,7 @@
 // peers carries the module's messages over UDP. One goroutine reads and one writes;
 // neither can hold up the core.
 type peers struct {
+	listen   string
 	conn     *net.UDPConn
 	each     []netip.AddrPort
 	all      netip.AddrPort // not valid: there is none
@@ -99,6 +102,7 @@
 	out      chan datagram
 	sent     int64 // when the last message was, for the next to be later; the core's goroutine's
 	stopped  chan struct{}
+	stopOnce sync.Once
 }
 
 type datagram struct {
@@ -108,7 +112,7 @@
 
 func newPeers(c config.Peers, own int, clock core.Clock, set *counters.Set, heard func(int, []byte)) (*peers, error) {
 	p := &peers{
-		own: own, clock: clock, counters: set, heard: heard,
+		listen: c.Listen, own: own, clock: clock, counters: set, heard: heard,
 		out: make(chan datagram, peerQueue), stopped: make(chan struct{}),
 	}
 	for i, text := range append([]string{c.All}, c.Each...) {
@@ -123,16 +127,26 @@
 			p.each = append(p.each, addr)
 		}
 	}
-	addr, err := net.ResolveUDPAddr("udp", c.Listen)
-	if err == nil {
-		p.conn, err = net.ListenUDP("udp", addr)
+	return p, nil
+}
+
+// open opens the socket, which another process may have open too if it is shared. Before that,
+// messages to others are dropped.
+func (p *peers) open(shared bool) (err error) {
+	if shared {
+		p.conn, err = upgrade.ListenPacket(p.listen)
+	} else {
+		var addr *net.UDPAddr
+		if addr, err = net.ResolveUDPAddr("udp", p.listen); err == nil {
+			p.conn, err = net.ListenUDP("udp", addr)
+		}
 	}
 	if err != nil {
-		return nil, fmt.Errorf("peer_listen: %w", err)
+		return fmt.Errorf("peer_listen: %w", err)
 	}
 	go p.read()
 	go p.write()
-	return p, nil
+	return nil
 }
 
 // Tell implements core.Peers.
@@ -214,8 +228,12 @@
 
 // stop ends both goroutines; nothing is sent or heard any more.
 func (p *peers) stop() {
-	close(p.stopped)
-	p.conn.Close()
+	p.stopOnce.Do(func() {
+		close(p.stopped)
+		if p.conn != nil {
+			p.conn.Close()
+		}
+	})
 }
 
 var _ core.Peers = (*peers)(nil)
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -3,14 +3,17 @@
 import (
 	"fmt"
 	"net"
+	"syscall"
 	"time"
 
 	"go.uber.org/zap"
 
+	"github.com/vatu-meals/foxlift"
 	"github.com/vatu-meals/foxlift/internal/config"
 	"github.com/vatu-meals/foxlift/internal/core"
 	"github.com/vatu-meals/foxlift/internal/counters"
 	"github.com/vatu-meals/foxlift/internal/logging"
+	"github.com/vatu-meals/foxlift/internal/upgrade"
 )
 
 // How the descriptors are shared: some are spare, for the list, the listener and
@@ -66,44 +69,123 @@
 	peers    *peers // nil where schedulers do not speak with each other
 	core     *core.Core
 	settings *config.Settings
+
+	half   int              // descriptors for either side, if no other process shares them
+	listen string           // the submitters' address
+	shared bool             // another process may listen there too
+	known  []foxlift.Worker // as last known before the start
+	log    *zap.Logger
 }
 
 // Start listens and serves submitters. known is checked before listening.
 func Start(cfg *config.Scheduler, c *core.Core, clock core.Clock, set *counters.Set, log *zap.Logger) (*Platform, error) {
-	log = logging.Limited(log) // whatever is logged from here on, others can cause
-	list := newMachines(cfg.Discovery, cfg.Settings, c.Machines, log)
-	workers, err := list.load(cfg.Known)
+	p, err := New(cfg, c, clock, set, log)
 	if err != nil {
 		return nil, err
 	}
-	addr, err := net.ResolveTCPAddr("tcp", cfg.Listen)
-	if err != nil {
-		return nil, fmt.Errorf("listen (LB_LISTEN): %w", err)
+	if err := p.Listen(); err != nil {
+		return nil, err
 	}
-	listener, err := net.ListenTCP("tcp", addr)
+	p.Follow()
+	p.Accept()
+	return p, nil
+}
+
+// New makes a platform that does nothing yet: Listen, Follow and Accept each begin a part of it,
+// in this order or, for a process that takes over from another, with Follow first. known is
+// checked here.
+func New(cfg *config.Scheduler, c *core.Core, clock core.Clock, set *counters.Set, log *zap.Logger) (*Platform, error) {
+	log = logging.Limited(log) // whatever is logged from here on, others can cause
+	list := newMachines(cfg.Discovery, cfg.Settings, c.Machines, log)
+	workers, err := list.load(cfg.Known)
 	if err != nil {
-		return nil, fmt.Errorf("listen (LB_LISTEN): %w", err)
+		return nil, err
 	}
 	half := (cfg.Sockets - max(spareLeast, cfg.Sockets/sparePart) - AdminConnections(cfg)) / 2
-	front := newFront(c, clock, set, log, listener, half)
+	front := newFront(c, clock, set, log, nil, half)
 	nodes := newNodes(list, cfg.Settings, set, half)
-	c.Connect(nodes, list, front.mostJobs())
-	p := &Platform{front: front, machines: list, nodes: nodes, core: c, settings: cfg.Settings}
+	c.Connect(nodes, list, mostJobs(half))
+	p := &Platform{
+		front: front, machines: list, nodes: nodes, core: c, settings: cfg.Settings,
+		half: half, listen: cfg.Listen, shared: cfg.Admin != "", known: workers, log: log,
+	}
 	if cfg.Peers.Listen != "" {
 		if p.peers, err = newPeers(cfg.Peers, cfg.Settings.Module.Index, clock, set, c.Heard); err != nil {
-			listener.Close()
 			return nil, err
 		}
 		c.ConnectPeers(p.peers)
 	}
-	if cfg.Settings.Pushed() {
-		list.Watch() // the module asks when it likes
-	}
-	c.Start(workers)
-	go p.front.accept()
 	return p, nil
 }
 
+// Listen listens on the submitters' address, and on the peers' where there are any. The error
+// names the key of the address.
+func (p *Platform) Listen() error {
+	listener, err := p.openListener()
+	if err != nil {
+		return fmt.Errorf("listen (LB_LISTEN): %w", err)
+	}
+	if p.peers != nil {
+		if err := p.peers.open(p.shared); err != nil {
+			listener.Close()
+			return err
+		}
+	}
+	p.front.setListener(listener)
+	return nil
+}
+
+func (p *Platform) openListener() (*net.TCPListener, error) {
+	if p.shared {
+		return upgrade.Listen(p.listen)
+	}
+	addr, err := net.ResolveTCPAddr("tcp", p.listen)
+	if err != nil {
+		return nil, err
+	}
+	return net.ListenTCP("tcp", addr)
+}
+
+// Follow starts the core with the list as last known, and with it the watch on the list.
+func (p *Platform) Follow() {
+	if p.settings.Pushed() {
+		p.machines.Watch() // the module asks when it likes
+	}
+	p.core.Start(p.known)
+}
+
+// Accept begins to take submitters' connections. Listen and Follow come before it.
+func (p *Platform) Accept() { go p.front.accept() }
+
+// Informed reports whether discovery has answered since the start, and jobs can be taken.
+func (p *Platform) Informed() bool {
+	p.machines.mu.Lock()
+	defer p.machines.mu.Unlock()
+	return p.machines.answered && p.core.Ready()
+}
+
+// Share makes the platform keep to its part of the descriptors, which so many processes share.
+func (p *Platform) Share(processes int) {
+	p.front.setBudget(p.half / processes)
+	p.nodes.setBudget(p.half / processes)
+	p.core.SetMost(mostJobs(p.half / processes))
+}
+
+// TakeOver directs what comes to the submitters' and the peers' address to this process, from the
+// older one that listens there too.
+func (p *Platform) TakeOver() {
+	sockets := []syscall.Conn{p.front.listener.(syscall.Conn)}
+	if p.peers != nil {
+		sockets = append(sockets, p.peers.conn)
+	}
+	for _, s := range sockets {
+		if err := upgrade.Steer(s); err != nil {
+			// Some connections go to the older process until it closes its listener.
+			p.log.Warn("the older process goes on getting new connections", zap.Error(err))
+		}
+	}
+}
+
 // Reload goes over to the discovery of a configuration that has been read again.
 // It checks all of it first; with an error nothing changes.
 func (p *Platform) Reload(cfg *config.Scheduler) error {
@@ -135,11 +217,39 @@
 	// What comes in the first moments is no loss whatever becomes of it.
 	first := time.AfterFunc(moments, func() { p.core.End(end - moments) })
 	defer first.Stop()
+	p.front.ending.Store(true)
 	p.front.shutDown(moments, stay)
 	p.core.Stop()
 	p.end()
 }
 
+// HandOver ends the platform where another process listens on the same address and gets all new
+// connections: the health stays as it is, since the address is served. What waits to be accepted is
+// taken, the listener closes, closed is called, and submitters' connections end as soon as what they
+// carry is answered. It returns when everything taken is answered.
+func (p *Platform) HandOver(closed func()) {
+	_, end := endTimes(p.settings)
+	p.core.End(end)
+	if p.peers != nil {
+		p.peers.stop() // the others hear the new process, and would take both for one
+	}
+	p.front.relieved.Store(true)
+	go func() {
+		<-p.front.closed
+		closed()
+	}()
+	p.front.shutDown(handOverQueue, handOverStay)
+	p.core.Stop()
+	p.end()
+}
+
+// In a hand-over: connections whose handshake had begun before the other process took over have
+// come into the accept queue by then; and so long idle connections stay for a request.
+const (
+	handOverQueue = 100 * time.Millisecond
+	handOverStay  = 300 * time.Millisecond
+)
+
 // end ends what the scheduler has open towards others than its submitters.
 func (p *Platform) end() {
 	p.machines.stop()
@@ -153,9 +263,11 @@
 // would: for tests and the lab.
 func (p *Platform) Kill() {
 	p.core.Stop()
-	p.front.listener.Close()
 	p.front.mu.Lock()
 	defer p.front.mu.Unlock()
+	if p.front.listener != nil {
+		p.front.listener.Close()
+	}
 	for s := range p.front.all {
 		s.conn.Close()
 	}
--- a/internal/platform/rules_test.go
+++ b/internal/platform/rules_test.go
@@ -493,7 +493,7 @@
 	}
 	p, set := startWith(t, 80, "", nodes...)
 	var held []*toySubmitter
-	for i := 0; len(held) < p.front.mostJobs(); i++ {
+	for i := 0; len(held) < mostJobs(p.front.budget); i++ {
 		s := connect(t, p)
 		s.send(t, jobText("ratify", fmt.Sprint("h", i), "19000m", ""))
 		// At a node a job that must not run twice stays open. One that the module
--- a/internal/platform/submitter.go
+++ b/internal/platform/submitter.go
@@ -296,7 +296,7 @@
 
 // write writes a reply and returns whether the connection may go on.
 func (s *submitter) write(r reply, ends bool) bool {
-	ends = ends || s.retire.Load() || s.front.leaving.Load() || s.front.drain.Load() != nil
+	ends = ends || s.retire.Load() || s.front.sendsAway()
 	b := fmt.Appendf(make([]byte, 0, 160+len(r.body)), "HTTP/1.1 %d %s\r\nContent-Length: %d\r\n",
 		r.status, http.StatusText(r.status), len(r.body))
 	if r.retryAfter > 0 {
--- /dev/null
+++ b/internal/upgrade/place.go
@@ -0,0 +1,130 @@
+// Package upgrade lets a second process of the program take over from the one that serves, without
+// a job lost: both agree on their places by locks in a file, and listen on the same address.
+//
+// The locks are open file description locks on single bytes of one file. The kernel drops them
+// with the process that holds them, so a place is never held by one that is no more.
+package upgrade
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"path/filepath"
+	"strings"
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+// The bytes of the file that are locked.
+const (
+	byteServing   = 0 // by the process that serves, until it hands over
+	byteSuccessor = 1 // by the one that is to take over
+	byteListening = 2 // by the same, once it listens
+)
+
+// ErrTaken means that two processes hold both places already.
+var ErrTaken = errors.New("two processes serve this address already: an upgrade is under way")
+
+// A Place is a process's place among those that serve one address.
+type Place struct {
+	file      *os.File
+	successor bool
+}
+
+// Take takes a place among the processes that serve an address and share a directory: that of the
+// serving process if it is free, else the successor's. Where both are taken it tries again every
+// pause, until the limit is over, and returns ErrTaken then.
+func Take(directory, address string, limit, pause time.Duration) (*Place, error) {
+	file, err := os.OpenFile(filepath.Join(directory, fileName(address)), os.O_RDWR|os.O_CREATE, 0o600)
+	if err != nil {
+		return nil, fmt.Errorf("the place for upgrades: %w", err)
+	}
+	p := &Place{file: file}
+	for end := time.Now().Add(limit); ; <-time.After(pause) {
+		taken, err := p.takeFree()
+		switch {
+		case err != nil:
+			file.Close()
+			return nil, fmt.Errorf("the place for upgrades: %w", err)
+		case taken:
+			return p, nil
+		case !time.Now().Before(end):
+			file.Close()
+			return nil, ErrTaken
+		}
+	}
+}
+
+// fileName is the name of an address's file.
+func fileName(address string) string {
+	return "foxlift-" + strings.NewReplacer(":", "_", "/", "_").Replace(address) + ".lock"
+}
+
+// takeFree takes the first place that is free.
+func (p *Place) takeFree() (taken bool, err error) {
+	if taken, err = p.lock(byteServing); taken || err != nil {
+		return taken, err
+	}
+	p.successor, err = p.lock(byteSuccessor)
+	return p.successor, err
+}
+
+// Successor reports whether another process still serves, from which this one takes over.
+func (p *Place) Successor() bool { return p.successor }
+
+// Promote makes a successor the serving process once the other has left that place; true if it is
+// the serving process now. Not to be called by two goroutines at once.
+func (p *Place) Promote() (bool, error) {
+	if !p.successor {
+		return true, nil
+	}
+	taken, err := p.lock(byteServing)
+	if !taken || err != nil {
+		return false, err
+	}
+	p.successor = false
+	return true, errors.Join(p.unlock(byteListening), p.unlock(byteSuccessor))
+}
+
+// Announce tells the serving process that this one, its successor, listens.
+func (p *Place) Announce() error {
+	if !p.successor {
+		return nil
+	}
+	_, err := p.lock(byteListening)
+	return err
+}
+
+// Succeeding reports whether there is a process that is to take over from this one.
+func (p *Place) Succeeding() bool { return !p.successor && p.locked(byteSuccessor) }
+
+// Succeeded reports whether that process listens.
+func (p *Place) Succeeded() bool { return !p.successor && p.locked(byteListening) }
+
+// Leave gives up the place.
+func (p *Place) Leave() { p.file.Close() }
+
+// lock takes a byte's lock; false if another process has it.
+func (p *Place) lock(at int64) (bool, error) {
+	err := unix.FcntlFlock(p.file.Fd(), unix.F_OFD_SETLK, byteRange(unix.F_WRLCK, at))
+	if errors.Is(err, unix.EAGAIN) || errors.Is(err, unix.EACCES) {
+		return false, nil
+	}
+	return err == nil, err
+}
+
+func (p *Place) unlock(at int64) error {
+	return unix.FcntlFlock(p.file.Fd(), unix.F_OFD_SETLK, byteRange(unix.F_UNLCK, at))
+}
+
+// locked reports whether another process has a byte's lock.
+func (p *Place) locked(at int64) bool {
+	r := byteRange(unix.F_WRLCK, at)
+	return unix.FcntlFlock(p.file.Fd(), unix.F_OFD_GETLK, r) == nil && r.Type != unix.F_UNLCK
+}
+
+func byteRange(kind int16, at int64) *unix.Flock_t {
+	return &unix.Flock_t{Type: kind, Whence: io.SeekStart, Start: at, Len: 1}
+}
