--- a/internal/core/book.go
+++ b/internal/core/book.go
@@ -29,8 +29,7 @@
 	j.place.leave()
 	c.leaveKey(j)
 	j.cell.book(j, a.Verdict)
-	c.recent[j.ID] = true
-	c.after(c.longest, idForgotten{j.ID})
+	c.remember(j.ID, c.settings.Module.Classes[j.class].Effect != foxlift.Idempotent)
 	c.counters.AddPart(VerdictCounters[a.Verdict], j.Class)
 	j.Submitter.Answer(a)
 	c.forget(j)
--- a/internal/core/cell_nodes.go
+++ b/internal/core/cell_nodes.go
@@ -55,6 +55,7 @@
 // seenBy returns a node's entry for a cell's module.
 func (n *entry) seenBy(cl *cell) foxlift.Worker {
 	w := n.Worker
+	w.Others = n.foreign
 	for other, slots := range n.out {
 		if other != cl {
 			w.Others += slots
@@ -70,11 +71,7 @@
 	if n == nil || c.scheme.Load() == nil {
 		return
 	}
-	slots := cl.job.Slots
-	if slots <= 0 {
-		slots = 1
-	}
-	n.out[cl.cell] += by * slots
+	n.out[cl.cell] += by * slotsOf(cl.job)
 	if n.out[cl.cell] <= 1e-9 {
 		delete(n.out, cl.cell)
 	}
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -86,7 +86,7 @@
 	// Owned by run's goroutine.
 	jobs     map[uint64]*job
 	open     map[string]*job // taken and not yet answered, by the submitter's id
-	recent   map[string]bool // ids answered not long ago
+	recent   map[string]bool // ids answered not long ago; true: of jobs that must not run twice
 	longest  int64           // the longest deadline of any class
 	most     int             // jobs that may be open
 	endBy    int64           // when what comes now must be answered; 0: no end is near
@@ -271,7 +271,7 @@
 	c.counters.Add("machines.told")
 	c.note(e.kind, e.entries)
 	if c.scheme.Load() == nil {
-		c.cells[0].tell(foxlift.Event{Kind: foxlift.EventList, List: e.kind, Workers: e.entries})
+		c.cells[0].tell(foxlift.Event{Kind: foxlift.EventList, List: e.kind, Workers: c.withOthers(e.entries)})
 	} else {
 		c.spread(e.kind, e.entries)
 		c.rehomeAll()
@@ -291,6 +291,8 @@
 	foxlift.Worker
 	cell *cell             // whose module decides on it; nil before it was live
 	out  map[*cell]float64 // slots of claims on it that are out, by the cell that sent them
+
+	foreign float64 // slots of claims on it that another process has out
 }
 
 // note takes news of the list into the core's own copy.
--- /dev/null
+++ b/internal/core/handover.go
@@ -0,0 +1,122 @@
+package core
+
+import (
+	"context"
+
+	"github.com/vatu-meals/foxlift"
+)
+
+// A State is what one process of a scheduler hands over to the next: what its decision modules have
+// learned, and what must not be done twice. It can be written as JSON.
+type State struct {
+	At      int64                        // when it was so, in Unix nanoseconds
+	Modules map[string]*foxlift.Snapshot // by the cell's name, "" without cells
+	Open    int                          // jobs taken and not yet answered
+	Out     map[string]float64           // slots of claims that have not ended, by node
+	IDs     []string                     // of jobs that must not run twice, open or answered not long ago
+}
+
+// State returns what another process would have to know to go on from here.
+func (c *Core) State(ctx context.Context) (s *State, err error) {
+	err = c.operate(ctx, func(c *Core) { s = c.state() })
+	return s, err
+}
+
+func (c *Core) state() *State {
+	s := &State{At: c.clock.Now(), Open: len(c.open), Modules: map[string]*foxlift.Snapshot{}, Out: map[string]float64{}}
+	for _, cl := range c.cells {
+		if !cl.retired {
+			s.Modules[cl.name] = cl.module.Snapshot()
+		}
+	}
+	for _, j := range c.jobs {
+		for _, cl := range j.claims {
+			if !cl.done {
+				s.Out[cl.node] += slotsOf(j)
+			}
+		}
+	}
+	for _, j := range c.open {
+		if c.settings.Module.Classes[j.class].Effect != foxlift.Idempotent {
+			s.IDs = append(s.IDs, j.ID)
+		}
+	}
+	for id, once := range c.recent {
+		if once {
+			s.IDs = append(s.IDs, id)
+		}
+	}
+	return s
+}
+
+// TakeOver goes on from what another process handed over. It is called while no job has come yet.
+func (c *Core) TakeOver(ctx context.Context, s *State) error {
+	return c.operate(ctx, func(c *Core) {
+		for _, cl := range c.cells {
+			if module := s.Modules[cl.name]; module != nil {
+				cl.module.Restore(module)
+			}
+		}
+		for _, id := range s.IDs {
+			c.remember(id, true)
+			c.ids.Store(id, struct{}{})
+		}
+		c.setOthers(s.Out)
+	})
+}
+
+// SetOthers tells how many slots another process of the scheduler has out at the nodes. The modules
+// count them as they count those of another cell.
+func (c *Core) SetOthers(out map[string]float64) { c.post(othersTold{out}) }
+
+type othersTold struct{ out map[string]float64 }
+
+func (e othersTold) apply(c *Core) { c.setOthers(e.out) }
+
+func (c *Core) setOthers(out map[string]float64) {
+	told := map[*cell][]foxlift.Worker{}
+	for _, n := range c.order {
+		if n.foreign == out[n.ID] {
+			continue
+		}
+		n.foreign = out[n.ID]
+		if cl := c.cellOf(n); cl != nil {
+			told[cl] = append(told[cl], n.seenBy(cl))
+		}
+	}
+	for cl, workers := range told {
+		cl.tell(foxlift.Event{Kind: foxlift.EventList, List: foxlift.ListChanges, Workers: workers})
+	}
+}
+
+// cellOf returns the cell whose module decides on a node; nil if there is none yet.
+func (c *Core) cellOf(n *entry) *cell {
+	if c.scheme.Load() == nil {
+		return c.cells[0]
+	}
+	return n.cell
+}
+
+// withOthers returns entries of the list with what another process has out there.
+func (c *Core) withOthers(entries []foxlift.Worker) []foxlift.Worker {
+	told := entries
+	for i := range entries {
+		n := c.known[entries[i].ID]
+		if n == nil || n.foreign == 0 {
+			continue
+		}
+		if &told[0] == &entries[0] {
+			told = append([]foxlift.Worker(nil), entries...)
+		}
+		told[i].Others = n.foreign
+	}
+	return told
+}
+
+// slotsOf is how many slots a job takes; 1 where that is not known.
+func slotsOf(j *job) float64 {
+	if j.Slots <= 0 {
+		return 1
+	}
+	return j.Slots
+}
--- a/internal/core/takein.go
+++ b/internal/core/takein.go
@@ -61,7 +61,7 @@
 			return 0, 0, "unknown tenant"
 		}
 	}
-	if c.open[j.ID] != nil || c.recent[j.ID] {
+	if _, answered := c.recent[j.ID]; answered || c.open[j.ID] != nil {
 		return 0, 0, repeatedID
 	}
 	return class, tenant, ""
@@ -86,6 +86,12 @@
 	}
 }
 
+// remember keeps an answered job's id for the longest deadline.
+func (c *Core) remember(id string, once bool) {
+	c.recent[id] = once
+	c.after(c.longest, idForgotten{id})
+}
+
 // An idForgotten ends the time in which an answered job's id may not come again. A
 // submitter that sends a job once more, instead of a new try with a new id, would
 // have it run twice.
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -51,13 +51,18 @@
 	admin    *admin.Server
 	log      *zap.Logger
 
-	place   *upgrade.Place // nil where no other process can take over
-	serving atomic.Bool    // submitters are served
-	failed  chan error     // holds one: why the scheduler cannot serve, after the start
-	ending  chan struct{}  // closed at the end,
-	end     sync.Once      // once
-	mu      sync.Mutex     // of the steps from starting to serving, and to the end
-	ended   bool
+	place    *upgrade.Place // nil where no other process can take over
+	serving  atomic.Bool    // submitters are served,
+	settled  atomic.Bool    // and no other process has jobs that its end would cost
+	started  time.Time      // when this process was,
+	listened time.Time      // and when it began to listen
+	failed   chan error     // holds one: why the scheduler cannot serve, after the start
+	ending   chan struct{}  // closed at the end,
+	end      sync.Once      // once
+	gone     chan struct{}  // closed when all is answered,
+	over     sync.Once      // once
+	mu       sync.Mutex     // of the steps from starting to serving, and to the end
+	ended    bool
 }
 
 // Read reads and checks all of the configuration, and starts nothing.
@@ -103,7 +108,7 @@
 func start(o Options, cfg *config.Scheduler, op *config.Operator, text []byte) (*Daemon, error) {
 	d := &Daemon{
 		Config: cfg, Counters: &counters.Set{}, options: o, operator: op, text: text,
-		log: o.Log.With(zap.String("name", cfg.Name)), failed: make(chan error, 1), ending: make(chan struct{}),
+		started: time.Now(), log: o.Log.With(zap.String("name", cfg.Name)), failed: make(chan error, 1), ending: make(chan struct{}), gone: make(chan struct{}),
 	}
 	clock := core.NewClock()
 	var err error
@@ -163,8 +168,9 @@
 // Failed brings the error, if any, for which the scheduler cannot serve after its start.
 func (d *Daemon) Failed() <-chan error { return d.failed }
 
-// Ready implements admin.Scheduler.
-func (d *Daemon) Ready() bool { return d.serving.Load() && d.platform.Ready() }
+// Ready implements admin.Scheduler. A process that takes over from another serves before it says
+// yes: the yes tells the platform that the other may be ended.
+func (d *Daemon) Ready() bool { return d.serving.Load() && d.settled.Load() && d.platform.Ready() }
 
 // Quiesce implements admin.Scheduler.
 func (d *Daemon) Quiesce() { d.platform.Quiesce() }
@@ -258,6 +264,7 @@
 	defer d.mu.Unlock()
 	d.ended = true
 	d.platform.Kill()
+	d.over.Do(func() { close(d.gone) })
 	d.stopOperators()
 	if d.place != nil {
 		d.place.Leave()
--- a/internal/daemon/upgrade.go
+++ b/internal/daemon/upgrade.go
@@ -1,6 +1,7 @@
 package daemon
 
 import (
+	"context"
 	"errors"
 	"fmt"
 	"os"
@@ -8,6 +9,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/vatu-meals/foxlift/internal/core"
 	"github.com/vatu-meals/foxlift/internal/upgrade"
 )
 
@@ -20,6 +22,11 @@
 	alone        = 1                      // processes that share the limits
 	withAnother  = 2
 	directoryKey = "TMPDIR"
+	settleLimit  = 5 * time.Second        // from the start to the yes, which is due after 6 s
+	settleLeast  = 500 * time.Millisecond // from listening to the yes: until then the other's resting connections may bring jobs
+	stateLimit   = time.Second            // for the core to tell its state, or to take one
+	stateAge     = 2 * time.Second        // a state that is older was left behind
+	stateShare   = 9                      // so many times as long as writing a state took, none is written
 )
 
 // takePlace finds out whether another process serves the address. A directory in which that
@@ -56,6 +63,7 @@
 	if d.ended {
 		return
 	}
+	d.loadState()
 	if err := d.serve(); err != nil {
 		d.failed <- err
 		return
@@ -79,6 +87,8 @@
 			d.log.Warn("the older process does not learn of this one", zap.Error(err))
 		}
 	}
+	d.listened = time.Now()
+	d.settled.Store(d.place == nil || !d.place.Successor())
 	d.serving.Store(true)
 	d.log.Info("it listens", zap.Stringer("address", d.Addr()))
 	return nil
@@ -103,21 +113,70 @@
 	}
 }
 
+// loadState goes on from what the older process has learned, if that can be read.
+func (d *Daemon) loadState() {
+	state, err := d.readState()
+	if err == nil {
+		ctx, cancel := context.WithTimeout(context.Background(), stateLimit)
+		defer cancel()
+		err = d.Core.TakeOver(ctx, state)
+	}
+	if err != nil {
+		d.Counters.Add("upgrades.without_state")
+		d.log.Warn("it begins with nothing learned", zap.Error(err))
+	}
+}
+
+// errOld means that a state was left by a process that is no more.
+var errOld = errors.New("the state of the older process is old")
+
+func (d *Daemon) readState() (*core.State, error) {
+	state := &core.State{}
+	if err := d.place.Load(state); err != nil {
+		return nil, err
+	}
+	if age := time.Since(time.Unix(0, state.At)); age < -stateAge || age > stateAge {
+		return nil, errOld
+	}
+	return state, nil
+}
+
+// saveState writes what a successor needs.
+func (d *Daemon) saveState() {
+	ctx, cancel := context.WithTimeout(context.Background(), stateLimit)
+	defer cancel()
+	state, err := d.Core.State(ctx)
+	if err == nil {
+		err = d.place.Save(state)
+	}
+	if err != nil {
+		d.Counters.Add("upgrades.not_saved")
+	}
+}
+
 // watchOther shares the limits with another process while there is one: the older one, whose place
-// this one takes when it has gone, or a newer one. It runs until the end.
+// this one takes when it has gone, or a newer one, for which it writes its state. It runs until all
+// is answered.
 func (d *Daemon) watchOther() {
-	shared := d.place.Successor()
-	for look := time.NewTicker(placePause); ; {
+	look := time.NewTicker(placePause)
+	defer look.Stop()
+	shared, rested := d.place.Successor(), time.Time{}
+	for {
 		select {
 		case <-look.C:
-		case <-d.ending:
-			look.Stop()
+		case <-d.gone:
 			return
 		}
-		if another := d.another(); another != shared {
+		another := d.another()
+		d.platform.Relieve(d.place.Succeeded())
+		if another != shared {
 			shared = another
 			d.share(processes(another))
 		}
+		if began := time.Now(); another && !d.place.Successor() && !began.Before(rested) {
+			d.saveState()
+			rested = time.Now().Add(stateShare * time.Since(began))
+		}
 	}
 }
 
@@ -130,8 +189,13 @@
 	switch {
 	case err != nil:
 		d.log.Warn("the place of the serving process cannot be taken", zap.Error(err))
+	case !first:
+		d.followOlder()
 	case first:
-		d.log.Info("the older process has ended or handed over")
+		d.log.Info("the older process has ended")
+		d.Core.SetOthers(nil)
+		d.place.Discard()
+		d.settled.Store(true)
 		if err := d.startControl(); err != nil {
 			d.log.Error("no control socket", zap.Error(err))
 		}
@@ -139,6 +203,22 @@
 	return !first
 }
 
+// followOlder looks at what the older process still has to do. This one says yes once that is
+// nothing, since the other may then be ended without a loss; or when the yes is due.
+func (d *Daemon) followOlder() {
+	if time.Since(d.started) >= settleLimit {
+		d.settled.Store(true)
+	}
+	state, err := d.readState()
+	if err != nil {
+		return
+	}
+	d.Core.SetOthers(state.Out)
+	if relieved := time.Unix(0, state.At).Sub(d.listened); relieved > settleLeast && state.Open == 0 {
+		d.settled.Store(true)
+	}
+}
+
 func processes(another bool) int {
 	if another {
 		return withAnother
@@ -166,10 +246,11 @@
 		d.platform.Kill()
 	case d.place != nil && d.place.Succeeded():
 		d.log.Info("another process has taken over")
-		d.platform.HandOver(d.place.Leave)
+		d.platform.HandOver()
 	default:
 		d.platform.ShutDown()
 	}
+	d.over.Do(func() { close(d.gone) })
 	d.stopOperators()
 	if d.place != nil {
 		d.place.Leave()
--- a/internal/platform/drain.go
+++ b/internal/platform/drain.go
@@ -5,10 +5,14 @@
 // A drain is a time in which submitters are sent away while the scheduler goes on. The platform
 // stops new connections 0.2 s after it has seen the health turn, which it asks for ten times a
 // second; after 4 s no connection may rest here, or carry a job that came in the last 2 s.
-type drain struct{ since time.Time }
+type drain struct {
+	since time.Time
+	stay  time.Duration // that an idle connection stays
+}
 
 const (
 	drainStay  = 600 * time.Millisecond  // that an idle connection stays: closed at once, it would only come back
+	reliefStay = 200 * time.Millisecond  // the same where another process has the address: it goes there
 	drainFirst = 400 * time.Millisecond  // for the first request on a connection that comes later
 	drainRead  = 1700 * time.Millisecond // by then a request has come whole or is turned away
 	drainPiece = 150 * time.Millisecond  // for the rest of a request that begins after that
@@ -16,7 +20,7 @@
 
 // idleUntil is how long a connection may rest that was opened at a time.
 func (d *drain) idleUntil(began time.Time) time.Time {
-	return later(d.since.Add(drainStay), began.Add(drainFirst))
+	return later(d.since.Add(d.stay), began.Add(drainFirst))
 }
 
 // readUntil is when a request must have come whole that begins now.
@@ -33,7 +37,7 @@
 
 // quiesce begins a drain, unless there is one.
 func (f *front) quiesce() {
-	if !f.drain.CompareAndSwap(nil, &drain{time.Now()}) {
+	if !f.drain.CompareAndSwap(nil, &drain{time.Now(), drainStay}) {
 		return
 	}
 	f.counters.Add("drains.begun")
@@ -48,11 +52,30 @@
 	}
 }
 
-// sendsAway reports whether answers end their connections.
-func (f *front) sendsAway() bool {
-	return f.leaving.Load() || f.relieved.Load() || f.drain.Load() != nil
+// relieve sends submitters to another process that listens on the same address, or, when that is
+// gone, no longer does. The health stays as it is: the address is served.
+func (f *front) relieve(on bool) {
+	var d *drain
+	if on {
+		d = &drain{time.Now(), reliefStay}
+	}
+	if on && !f.relief.CompareAndSwap(nil, d) || !on && f.relief.Swap(nil) == nil {
+		return
+	}
+	f.wakeIdle()
 }
 
+// sending returns why submitters are sent away while the scheduler goes on; nil if they are not.
+func (f *front) sending() *drain {
+	if d := f.drain.Load(); d != nil {
+		return d
+	}
+	return f.relief.Load()
+}
+
+// sendsAway reports whether answers end their connections.
+func (f *front) sendsAway() bool { return f.leaving.Load() || f.sending() != nil }
+
 // wakeIdle lets every idle connection look at how long it may rest.
 func (f *front) wakeIdle() {
 	f.mu.Lock()
--- a/internal/platform/front.go
+++ b/internal/platform/front.go
@@ -30,14 +30,13 @@
 	log      *zap.Logger
 	listener listener
 	budget   int
-	grace    time.Duration // for a request that crosses the end of an idle connection
-	ending   atomic.Bool   // health is 503
-	closing  atomic.Bool   // no more is accepted than waits already
-	leaving  atomic.Bool   // answers end their connections, and idle ones end
-	relieved atomic.Bool   // another process has the address: answers end their connections
-	drain    atomic.Pointer[drain]
-	accepted chan struct{} // closed when accept has returned
-	closed   chan struct{} // closed when shutDown has closed the listener
+	grace    time.Duration         // for a request that crosses the end of an idle connection
+	ending   atomic.Bool           // health is 503
+	closing  atomic.Bool           // no more is accepted than waits already
+	leaving  atomic.Bool           // answers end their connections, and idle ones end
+	drain    atomic.Pointer[drain] // by the operators; nil: none
+	relief   atomic.Pointer[drain] // by another process that has the address; nil: there is none
+	accepted chan struct{}         // closed when accept has returned
 
 	mu    sync.Mutex
 	freed *sync.Cond // a connection has ended
@@ -49,7 +48,7 @@
 func newFront(c *core.Core, clock core.Clock, set *counters.Set, log *zap.Logger, l listener, budget int) *front {
 	f := &front{
 		core: c, clock: clock, counters: set, log: log, listener: l, budget: budget, grace: graceTime,
-		accepted: make(chan struct{}), closed: make(chan struct{}), all: map[*submitter]struct{}{}, idle: list.New(), cells: map[string]int{},
+		accepted: make(chan struct{}), all: map[*submitter]struct{}{}, idle: list.New(), cells: map[string]int{},
 	}
 	f.freed = sync.NewCond(&f.mu)
 	return f
@@ -308,7 +307,6 @@
 	f.mu.Unlock()
 	<-f.accepted // what the kernel has accepted counts as taken: it is served too
 	f.listener.Close()
-	close(f.closed)
 	<-left
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -164,6 +164,10 @@
 	return p.machines.answered && p.core.Ready()
 }
 
+// Relieve sends submitters to another process that listens on the same address and gets all new
+// connections, or ends that. The health stays as it is, and what has come is served.
+func (p *Platform) Relieve(on bool) { p.front.relieve(on) }
+
 // Share makes the platform keep to its part of the descriptors, which so many processes share.
 func (p *Platform) Share(processes int) {
 	p.front.setBudget(p.half / processes)
@@ -225,19 +229,15 @@
 
 // HandOver ends the platform where another process listens on the same address and gets all new
 // connections: the health stays as it is, since the address is served. What waits to be accepted is
-// taken, the listener closes, closed is called, and submitters' connections end as soon as what they
+// taken, the listener closes, and submitters' connections end as soon as what they
 // carry is answered. It returns when everything taken is answered.
-func (p *Platform) HandOver(closed func()) {
+func (p *Platform) HandOver() {
 	_, end := endTimes(p.settings)
 	p.core.End(end)
 	if p.peers != nil {
 		p.peers.stop() // the others hear the new process, and would take both for one
 	}
-	p.front.relieved.Store(true)
-	go func() {
-		<-p.front.closed
-		closed()
-	}()
+	p.front.relieve(true)
 	p.front.shutDown(handOverQueue, handOverStay)
 	p.core.Stop()
 	p.end()
--- a/internal/platform/submitter.go
+++ b/internal/platform/submitter.go
@@ -97,11 +97,11 @@
 	proven := s.front.await(s)
 	defer s.front.awaited(s)
 	for {
-		drained := s.front.drain.Load()
+		drained := s.front.sending()
 		limit := s.idleLimit(drained, proven)
 		// In this order: a wake-up between the two ends the wait below.
 		s.conn.SetReadDeadline(limit)
-		if s.front.drain.Load() != drained {
+		if s.front.sending() != drained {
 			continue
 		}
 		if s.buf.buffered() > 0 {
--- a/internal/upgrade/place.go
+++ b/internal/upgrade/place.go
@@ -12,6 +12,7 @@
 	"os"
 	"path/filepath"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"golang.org/x/sys/unix"
@@ -30,7 +31,7 @@
 // A Place is a process's place among those that serve one address.
 type Place struct {
 	file      *os.File
-	successor bool
+	successor atomic.Bool // this process is to take over
 }
 
 // Take takes a place among the processes that serve an address and share a directory: that of the
@@ -67,30 +68,31 @@
 	if taken, err = p.lock(byteServing); taken || err != nil {
 		return taken, err
 	}
-	p.successor, err = p.lock(byteSuccessor)
-	return p.successor, err
+	taken, err = p.lock(byteSuccessor)
+	p.successor.Store(taken)
+	return taken, err
 }
 
 // Successor reports whether another process still serves, from which this one takes over.
-func (p *Place) Successor() bool { return p.successor }
+func (p *Place) Successor() bool { return p.successor.Load() }
 
 // Promote makes a successor the serving process once the other has left that place; true if it is
 // the serving process now. Not to be called by two goroutines at once.
 func (p *Place) Promote() (bool, error) {
-	if !p.successor {
+	if !p.successor.Load() {
 		return true, nil
 	}
 	taken, err := p.lock(byteServing)
 	if !taken || err != nil {
 		return false, err
 	}
-	p.successor = false
+	p.successor.Store(false)
 	return true, errors.Join(p.unlock(byteListening), p.unlock(byteSuccessor))
 }
 
 // Announce tells the serving process that this one, its successor, listens.
 func (p *Place) Announce() error {
-	if !p.successor {
+	if !p.successor.Load() {
 		return nil
 	}
 	_, err := p.lock(byteListening)
@@ -98,10 +100,10 @@
 }
 
 // Succeeding reports whether there is a process that is to take over from this one.
-func (p *Place) Succeeding() bool { return !p.successor && p.locked(byteSuccessor) }
+func (p *Place) Succeeding() bool { return !p.successor.Load() && p.locked(byteSuccessor) }
 
 // Succeeded reports whether that process listens.
-func (p *Place) Succeeded() bool { return !p.successor && p.locked(byteListening) }
+func (p *Place) Succeeded() bool { return !p.successor.Load() && p.locked(byteListening) }
 
 // Leave gives up the place.
 func (p *Place) Leave() { p.file.Close() }
--- /dev/null
+++ b/snapshot.go
@@ -0,0 +1,190 @@
+package foxlift
+
+// What a dispatcher has learned, so that another process of the same scheduler can go on from it.
+// Nothing is decided here.
+
+import "slices"
+
+// A Snapshot is what a Dispatcher has learned, without its jobs. Times are on its clock. It can be
+// written as JSON.
+type Snapshot struct {
+	Now     int64 // when it was taken
+	Period  int64 // of the regulator
+	U       float64
+	Open    bool
+	Offered float64 // jobs a second
+	Share   float64
+	Spare   float64
+	Window  float64
+	Copies  float64
+	Usual   MeanSnapshot
+	Starts  MeanSnapshot
+	Least   [4]int64
+	Fade    int64
+	Rate    float64 // slots that each warm worker has at work, the held peak
+	RateNow float64 // and the same lately
+	Keys    []uint64
+	Classes []ClassSnapshot
+	Tenants []TenantSnapshot
+	Workers []WorkerSnapshot
+}
+
+// A MeanSnapshot is a followed average with its mean deviation.
+type MeanSnapshot struct{ Average, Deviation float64 }
+
+// A ClassSnapshot is the state of a class's regulator.
+type ClassSnapshot struct {
+	Name             string
+	Patience         int64
+	Median, Quick    int64
+	Runs             []int64
+	Ratios           []float64
+	Parameters       [3]float64
+	Covariance       [3][3]float64
+	Input, LastInput float64 // u(k-1) and u(k-2), as shares of the most
+	Output           float64 // w(k-1)
+}
+
+// A TenantSnapshot is the state of a tenant's admission.
+type TenantSnapshot struct {
+	Name                                string
+	Rate, Tokens, Offered, Margin, Past float64
+	Came, Sent                          []float64 // by class
+}
+
+// A WorkerSnapshot is what is known of one run of a worker.
+type WorkerSnapshot struct {
+	ID            string
+	Started       int64 // the start of its process; what is learned holds for no other
+	Cap           float64
+	Capped        bool
+	Most          float64
+	Shut, Backoff int64
+	Trial         bool
+	Fulls         int
+	Good, Bad     int64
+	Failing, Slow float64
+	ColdFrom      int64
+	ColdWork      float64
+	Keys          []uint64
+}
+
+// Snapshot returns what the dispatcher has learned.
+func (d *Dispatcher) Snapshot() *Snapshot {
+	s := &Snapshot{
+		Now: d.now, Period: d.period, U: d.u, Open: d.open, Offered: d.offered, Share: d.share, Spare: d.spare,
+		Window: d.window, Copies: d.copies, Usual: MeanSnapshot{d.usual.avg, d.usual.dev},
+		Starts: MeanSnapshot{d.starts.avg, d.starts.dev}, Least: d.least, Fade: d.fade, Rate: d.warmRate, RateNow: d.warmNow,
+		Keys: d.keys.newest(),
+	}
+	for i := range d.classes {
+		s.Classes = append(s.Classes, d.classes[i].snapshot())
+	}
+	for i := range d.tenants {
+		s.Tenants = append(s.Tenants, d.tenants[i].snapshot(d.tenantName(i)))
+	}
+	for _, w := range d.list {
+		if w.state != Gone {
+			s.Workers = append(s.Workers, w.snapshot())
+		}
+	}
+	return s
+}
+
+// Restore takes over what another dispatcher with the same settings has learned. What the snapshot
+// says of classes, tenants or workers that are not known here, or of another run of a worker, is
+// left out.
+func (d *Dispatcher) Restore(s *Snapshot) {
+	d.period, d.u, d.open, d.offered, d.share = s.Period, s.U, s.Open, s.Offered, s.Share
+	d.spare, d.window, d.copies, d.least, d.fade = s.Spare, s.Window, s.Copies, s.Least, max(s.Fade, 1)
+	d.usual, d.starts = mean{s.Usual.Average, s.Usual.Deviation}, mean{s.Starts.Average, s.Starts.Deviation}
+	d.warmRate, d.warmNow = s.Rate, s.RateNow
+	d.keys = keyLog{}
+	for _, key := range s.Keys {
+		d.keys.add(key)
+	}
+	for i := range s.Classes {
+		for k := range d.classes {
+			if d.classes[k].Name == s.Classes[i].Name {
+				d.classes[k].restore(&s.Classes[i])
+			}
+		}
+	}
+	for i := range s.Tenants {
+		for k := range d.tenants {
+			if d.tenantName(k) == s.Tenants[i].Name {
+				d.tenants[k].restore(&s.Tenants[i])
+			}
+		}
+	}
+	for i := range s.Workers {
+		if w := d.workers[s.Workers[i].ID]; w != nil && w.up == s.Workers[i].Started {
+			w.restore(&s.Workers[i])
+			d.place(w)
+		}
+	}
+}
+
+// tenantName returns the name of a tenant by its index; "" for the requests of no known one.
+func (d *Dispatcher) tenantName(i int) string {
+	if i < len(d.cfg.Tenants) {
+		return d.cfg.Tenants[i].Name
+	}
+	return ""
+}
+
+func (c *classLoop) snapshot() ClassSnapshot {
+	return ClassSnapshot{
+		Name: c.Name, Patience: c.patience, Median: c.median, Quick: c.quick, Runs: slices.Clone(c.runs),
+		Ratios: slices.Clone(c.ratios), Parameters: c.fit.p, Covariance: c.fit.cov,
+		Input: c.v, LastInput: c.v1, Output: c.w1,
+	}
+}
+
+func (c *classLoop) restore(s *ClassSnapshot) {
+	c.patience, c.median, c.quick = s.Patience, max(s.Median, 1), max(s.Quick, 1)
+	c.runs, c.ratios = slices.Clone(s.Runs), slices.Clone(s.Ratios)
+	c.fit = model{p: s.Parameters, cov: s.Covariance}
+	c.v, c.v1, c.w1 = s.Input, s.LastInput, s.Output
+}
+
+func (t *tenant) snapshot(name string) TenantSnapshot {
+	s := TenantSnapshot{Name: name, Rate: t.rate, Tokens: t.tokens, Offered: t.offered, Margin: t.margin, Past: t.past}
+	for _, f := range t.classes {
+		s.Came, s.Sent = append(s.Came, f.came), append(s.Sent, f.sent)
+	}
+	return s
+}
+
+func (t *tenant) restore(s *TenantSnapshot) {
+	t.rate, t.tokens, t.offered, t.margin, t.past = s.Rate, s.Tokens, s.Offered, s.Margin, s.Past
+	for i := range t.classes {
+		if i < len(s.Came) && i < len(s.Sent) {
+			t.classes[i].came, t.classes[i].sent = s.Came[i], s.Sent[i]
+		}
+	}
+}
+
+func (w *worker) snapshot() WorkerSnapshot {
+	return WorkerSnapshot{
+		ID: w.id, Started: w.up, Cap: w.cap, Capped: w.capped, Most: w.most, Shut: w.shut, Backoff: w.backoff,
+		Trial: w.trial, Fulls: w.fulls, Good: w.good, Bad: w.bad, Failing: w.failing, Slow: w.slow,
+		ColdFrom: w.coldFrom, ColdWork: w.coldWork, Keys: slices.Clone(w.keys),
+	}
+}
+
+func (w *worker) restore(s *WorkerSnapshot) {
+	w.cap, w.capped, w.most, w.shut, w.backoff = s.Cap, s.Capped, s.Most, s.Shut, s.Backoff
+	w.trial, w.fulls, w.good, w.bad, w.failing, w.slow = s.Trial, s.Fulls, s.Good, s.Bad, s.Failing, s.Slow
+	w.coldFrom, w.coldWork, w.keys = s.ColdFrom, s.ColdWork, slices.Clone(s.Keys)
+	w.keys = w.keys[:min(len(w.keys), keptKeys)]
+}
+
+// newest returns the keys in the log, the oldest first.
+func (l *keyLog) newest() []uint64 {
+	var keys []uint64
+	for i := max(0, l.n-len(l.last)); i < l.n; i++ {
+		keys = append(keys, l.last[i%len(l.last)])
+	}
+	return keys
+}
