--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -74,6 +74,12 @@
 	if c.Module.MayMessage {
 		t.Error("messages to peers, without an address to receive them at")
 	}
+	if s.Admin != "" {
+		t.Errorf("operators' address %q where none is given", s.Admin)
+	}
+	if s, err := load(t, good, map[string]string{"LB_ADMIN": "127.0.0.3:4000"}); err != nil || s.Admin != "127.0.0.3:4000" {
+		t.Errorf("LB_ADMIN: %+v, %v", s, err)
+	}
 	peers := `"peer_listen":"127.0.0.1:7","peers":["127.0.0.1:1","127.0.0.1:2"],"peers_all":"127.0.0.1:3"`
 	for text, want := range map[string]bool{
 		strings.Replace(good, `"novel":true`, peers, 1):                                                                  true,
@@ -99,6 +105,9 @@
 		{`"127.0.0.1:3000"`, `"127.0.0.1"`, "listen"},
 		{`"127.0.0.1:3000"`, `"127.0.0.1:70000"`, "listen"},
 		{`"127.0.0.1:8500"`, `"127.0.0.1:0"`, "discovery"},
+		{`"novel":true`, `"admin":"127.0.0.1"`, "admin"},
+		{`"novel":true`, `"admin":"127.0.0.1:70000"`, "admin"},
+		{`"novel":true`, `"admin":"127.0.0.1:3000"`, "admin"},
 		{`8c1f30d27a5be964`, `xyz`, "seed"},
 		{`2048`, `8`, "limits.memory_mb"},
 		{`512`, `-1`, "limits.sockets"},
--- a/internal/core/handover.go
+++ b/internal/core/handover.go
@@ -51,18 +51,20 @@
 
 // TakeOver goes on from what another process handed over. It is called while no job has come yet.
 func (c *Core) TakeOver(ctx context.Context, s *State) error {
-	return c.operate(ctx, func(c *Core) {
-		for _, cl := range c.cells {
-			if module := s.Modules[cl.name]; module != nil {
-				cl.module.Restore(module)
-			}
-		}
-		for _, id := range s.IDs {
-			c.remember(id, true)
-			c.ids.Store(id, struct{}{})
+	return c.operate(ctx, func(c *Core) { c.goOnFrom(s) })
+}
+
+func (c *Core) goOnFrom(s *State) {
+	for _, cl := range c.cells {
+		if module := s.Modules[cl.name]; module != nil {
+			cl.module.Restore(module)
 		}
-		c.setOthers(s.Out)
-	})
+	}
+	for _, id := range s.IDs {
+		c.remember(id, true)
+		c.ids.Store(id, struct{}{})
+	}
+	c.setOthers(s.Out)
 }
 
 // SetOthers tells how many slots another process of the scheduler has out at the nodes. The modules
--- /dev/null
+++ b/snapshot_test.go
@@ -0,0 +1,110 @@
+package foxlift
+
+import (
+	"encoding/json"
+	"math/rand/v2"
+	"reflect"
+	"testing"
+)
+
+// busy lets a dispatcher serve, refuse and fail jobs for some seconds.
+func busy(r *rig, seed uint64) {
+	rng := rand.New(rand.NewPCG(seed, 1))
+	id := uint64(0)
+	for range 400 {
+		id++
+		e := r.request(id, rng.IntN(3))
+		e.Request.Tenant, e.Request.Key = rng.IntN(2), rng.Uint64N(20)
+		r.after(20*ms, e)
+		for _, a := range r.only(ActionSend) {
+			code := Served
+			switch rng.IntN(20) {
+			case 0:
+				code = Erred
+			case 1:
+				code = Full
+			case 2:
+				continue // it hangs
+			}
+			r.after(rng.Int64N(30*ms), started(a.ID, a.Attempt, a.Worker))
+			r.after(rng.Int64N(60*ms), outcome(a.ID, a.Attempt, a.Worker, code))
+		}
+	}
+}
+
+// What one dispatcher has learned another has after it, through JSON.
+func TestSnapshotIsRestored(t *testing.T) {
+	for seed := range uint64(5) {
+		from := newSeededRig(t, testConfig(), seed, fleet(6)...)
+		busy(from, seed)
+		text, err := json.Marshal(from.d.Snapshot())
+		if err != nil {
+			t.Fatal(err)
+		}
+		var snapshot Snapshot
+		if err := json.Unmarshal(text, &snapshot); err != nil {
+			t.Fatal(err)
+		}
+		to := newSeededRig(t, testConfig(), seed+100, fleet(6)...)
+		to.now = from.now
+		to.step()
+		to.d.Restore(&snapshot)
+		got := to.d.Snapshot()
+		if !reflect.DeepEqual(*got, snapshot) {
+			t.Errorf("seed %d: restored\n%+v\nwant\n%+v", seed, *got, snapshot)
+		}
+		busy(to, seed+7) // it goes on from there
+	}
+}
+
+// What a snapshot says of what is not there is left out: another run of a worker, a worker, class or
+// tenant that is not known. One of nothing changes no worker.
+func TestSnapshotOfOthers(t *testing.T) {
+	from := newRig(t, testConfig(), fleet(3)...)
+	busy(from, 1)
+	snapshot := from.d.Snapshot()
+	if len(snapshot.Workers) != 3 || !snapshot.Workers[0].Capped && !snapshot.Workers[1].Capped && !snapshot.Workers[2].Capped {
+		t.Fatalf("nothing was learned: %+v", snapshot.Workers)
+	}
+	workers := fleet(2)
+	workers[1].Started = 4 * second
+	cfg := testConfig()
+	cfg.Classes[2].Name, cfg.Tenants[1].Name = "other", "c"
+	to := newRig(t, cfg, workers...)
+	before := *to.d.workers["w1"]
+	to.d.Restore(snapshot)
+	if after := *to.d.workers["w1"]; after.cap != before.cap || after.slow != before.slow || after.shut != before.shut {
+		t.Errorf("another run of a worker: %+v, want %+v", after, before)
+	}
+	if to.d.workers["w0"].cap != snapshot.Workers[0].Cap {
+		t.Errorf("cap %v, want %v", to.d.workers["w0"].cap, snapshot.Workers[0].Cap)
+	}
+	if to.d.classes[2].median == snapshot.Classes[2].Median {
+		t.Error("a class of another name was restored")
+	}
+	if len(to.d.workers) != 2 {
+		t.Errorf("%d workers, want 2", len(to.d.workers))
+	}
+	newRig(t, testConfig(), fleet(2)...).d.Restore(&Snapshot{})
+}
+
+// Only failures eject a worker, not being full.
+func TestEjected(t *testing.T) {
+	r := newRig(t, testConfig(), fleet(3)...)
+	if n := r.d.Ejected(); n != 0 {
+		t.Fatalf("%d ejected, want 0", n)
+	}
+	r.d.pause(r.d.workers["w0"], &job{class: &r.d.classes[0]})
+	if n := r.d.Ejected(); n != 0 {
+		t.Errorf("%d ejected when one is full, want 0", n)
+	}
+	r.d.shut(r.d.workers["w1"])
+	r.d.workers["w2"].overdue = 1
+	if n := r.d.Ejected(); n != 2 {
+		t.Errorf("%d ejected, want 2", n)
+	}
+	r.d.workers["w2"].setState(Draining, r.now)
+	if n := r.d.Ejected(); n != 1 {
+		t.Errorf("%d ejected when one of them drains, want 1", n)
+	}
+}
