--- a/internal/lab/fleet/fleet.go
+++ b/internal/lab/fleet/fleet.go
@@ -26,6 +26,7 @@
 	Cold      *standin.Cold // of nodes that start; nil: they are warm at once
 	PodWindow time.Duration // in which pods really drop repeats; 0: as the settings say
 	NodeLinks bool          // a link between each scheduler and each node: only for small fleets
+	Admin     bool          // each process has a second address, for its operators
 }
 
 // A Fleet is the running processes and what they meet.
@@ -44,6 +45,7 @@
 	ends      []func()
 	began     int // nodes
 	pods      []*standin.Pod
+	later     []*Process // successors
 }
 
 // New makes a fleet. Its processes have not been started yet: StartAll does.
@@ -196,6 +198,12 @@
 	p := &Process{Name: view, Addr: addr, program: f.Program, counters: map[string]int64{}}
 	path := filepath.Join(f.dir, view+".json")
 	p.env = []string{"LB_CONFIG=" + path, "LB_LISTEN=" + addr}
+	if f.Admin {
+		if p.Admin, err = freeAddr(i); err != nil {
+			return err
+		}
+		p.env = append(p.env, "LB_NAME="+view, "LB_DISCOVERY="+link.Addr().String(), "TMPDIR="+f.dir, adminVariable+p.Admin)
+	}
 	f.Processes = append(f.Processes, p)
 	return f.Configure(i, f.Discovery.KnownAt(f.dial(i)))
 }
@@ -207,6 +215,9 @@
 		"seed": fmt.Sprintf("%x", 1000+i), "limits": map[string]any{"memory_mb": 192, "sockets": f.Sockets},
 		"known": json.RawMessage(known), "settings": f.Settings(i),
 	}
+	if f.Admin {
+		config["admin"] = f.Processes[i].Admin
+	}
 	if f.Talk != nil {
 		config["peer_listen"], config["peers"] = f.Talk.listen[i], f.Talk.faces[i]
 	}
@@ -338,10 +349,23 @@
 	return ids
 }
 
+// Requests returns how many whole requests with a job the nodes have read.
+func (f *Fleet) Requests() (sum int64) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, n := range f.nodes {
+		sum += n.Requests()
+	}
+	return sum
+}
+
 // Close ends everything: each process by its own id.
 func (f *Fleet) Close() {
 	f.KillAll()
-	for _, p := range f.Processes {
+	for _, p := range f.later {
+		p.Kill()
+	}
+	for _, p := range slices.Concat(f.Processes, f.later) {
 		p.wait.Wait()
 	}
 	for _, l := range f.Links {
--- a/internal/lab/fleet/process.go
+++ b/internal/lab/fleet/process.go
@@ -18,8 +18,9 @@
 // A Process is one scheduler: the built program, with its configuration. It can be
 // started again after it has ended.
 type Process struct {
-	Name string
-	Addr string // where submitters reach it
+	Name  string
+	Addr  string // where submitters reach it
+	Admin string // where its operators reach it; "": nowhere
 
 	program string
 	env     []string
@@ -46,6 +47,7 @@
 	}
 	cmd := exec.Command(p.program)
 	cmd.Env = append(os.Environ(), p.env...)
+	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL} // none stays when the rig itself is killed
 	out, err := cmd.StderrPipe()
 	if err != nil {
 		return err
@@ -125,6 +127,23 @@
 	return p.exit
 }
 
+// Done is closed when the process has ended; nil before its first start.
+func (p *Process) Done() <-chan struct{} {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.done
+}
+
+// ID returns the process's id; 0 where it does not run.
+func (p *Process) ID() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.cmd == nil {
+		return 0
+	}
+	return p.cmd.Process.Pid
+}
+
 // end ends the process with SIGTERM and waits for its end.
 func (p *Process) end() error {
 	if p.Signal(syscall.SIGTERM) != nil {
--- /dev/null
+++ b/internal/lab/service/fault.go
@@ -0,0 +1,134 @@
+package service
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"syscall"
+	"time"
+
+	"github.com/vatu-meals/foxlift/internal/lab/fleet"
+)
+
+// A Fault is what goes wrong in each upgrade of a trial.
+type Fault string
+
+const (
+	NoFault Fault = "none"
+	KillNew Fault = "kill-new" // a new process is killed before its yes, and another one started
+	StopNew Fault = "stop-new" // a new process stands still before its yes, is killed, and another one started
+	KillOld Fault = "kill-old" // the old process is killed at any moment of the upgrade
+)
+
+// Faults are all that a trial knows.
+var Faults = []Fault{NoFault, KillNew, StopNew, KillOld}
+
+// The moments and times of faults are drawn up to these.
+const (
+	earliestKill = 30 * time.Millisecond  // of a new process, after its start
+	longestStop  = 400 * time.Millisecond // of a new process, until it is killed
+	latestKill   = 300 * time.Millisecond // of an old process, after a step of the upgrade
+)
+
+// An Outage is a time in which a process was killed and jobs may be lost with it.
+type Outage struct{ From, To time.Time }
+
+// covers reports whether a send was under way in the outage.
+func (o Outage) covers(s Send) bool { return !s.Began.After(o.To) && !s.Ended.Before(o.From) }
+
+// pause waits for a drawn time.
+func pause(ctx context.Context, drawn time.Duration) error {
+	select {
+	case <-time.After(drawn):
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// SpoilNew starts a next process, stops it at a drawn moment and kills it, at once or after a
+// drawn time. A process that listens by then was too fast for it: it goes on, and is returned.
+func (d *Deployment) SpoilNew(ctx context.Context, fault Fault, rng *rand.Rand) (tooFast *fleet.Process, err error) {
+	next, err := d.StartNext()
+	if err != nil {
+		return nil, err
+	}
+	if err := pause(ctx, time.Duration(rng.Float64()*float64(earliestKill))); err != nil {
+		return nil, err
+	}
+	if err := next.Signal(syscall.SIGSTOP); err != nil {
+		return nil, &EndedError{next.Name, next.Log()}
+	}
+	listens, err := Listens(next.ID(), d.Addr())
+	if err != nil {
+		return nil, err
+	}
+	if listens {
+		return next, next.Signal(syscall.SIGCONT)
+	}
+	if fault == StopNew {
+		if err := pause(ctx, time.Duration(rng.Float64()*float64(longestStop))); err != nil {
+			return nil, err
+		}
+	}
+	next.Kill()
+	return nil, nil
+}
+
+// A Step is a step of an upgrade, after which the old process is killed.
+type Step int
+
+const (
+	NewStarted Step = iota
+	NewSaidYes
+	OldTold
+	steps
+)
+
+// String names the step in reports.
+func (s Step) String() string {
+	return [...]string{"the new process's start", "the new process's yes", "SIGTERM to the old process"}[s]
+}
+
+// UpgradeKillingOld upgrades while the old process is killed at a drawn time after a step.
+func (d *Deployment) UpgradeKillingOld(ctx context.Context, step Step, after time.Duration) (h Handover, o Outage, err error) {
+	h.Began = time.Now()
+	old := d.Current
+	next, err := d.StartNext()
+	if err != nil {
+		return h, o, err
+	}
+	kill := func() error {
+		err := pause(ctx, after)
+		o.From = time.Now()
+		old.Kill()
+		o.To = time.Now()
+		return err
+	}
+	if step == NewStarted {
+		if err := kill(); err != nil {
+			return h, o, err
+		}
+	}
+	if h.Yes, err = AwaitYes(ctx, next); err != nil {
+		return h, o, err
+	}
+	h.Yes = time.Since(h.Began)
+	d.Current = next
+	switch step {
+	case NewStarted: // nobody served until now
+		o.To = time.Now()
+		return h, o, nil
+	case OldTold:
+		h.Told = time.Now()
+		if err := old.Signal(syscall.SIGTERM); err != nil {
+			return h, o, fmt.Errorf("%s was gone before its SIGTERM: %w", old.Name, err)
+		}
+	}
+	err = kill()
+	return h, o, err
+}
+
+// errUnknownFault is the answer to a fault that no trial knows.
+var errUnknownFault = errors.New("the fault is none of none, kill-new, stop-new and kill-old")
--- /dev/null
+++ b/internal/lab/service/figures.go
@@ -0,0 +1,112 @@
+package service
+
+import (
+	"fmt"
+	"math"
+	"strings"
+
+	dto "github.com/prometheus/client_model/go"
+	"github.com/prometheus/common/expfmt"
+	"github.com/prometheus/common/model"
+)
+
+// The names of the figures.
+const (
+	responsesName = "scheduler_responses_total"
+	triesName     = "scheduler_tries_total"
+	activeName    = "scheduler_active"
+	poolSizeName  = "scheduler_pool_size"
+	ejectedName   = "scheduler_pool_ejected"
+)
+
+// How far figures may be off: by a share of the true number or by this many.
+const (
+	JobsShare   = 0.01
+	TriesShare  = 0.02
+	ActiveShare = 0.10
+	slack       = 3
+)
+
+// Responses are the jobs of a class by their answer.
+type Responses struct{ OK, Shed, Errors float64 }
+
+// Figures are what a scheduler tells of itself.
+type Figures struct {
+	Responses map[string]Responses // by class
+	Tries     float64
+	Active    float64
+	PoolSize  float64
+	Ejected   float64
+}
+
+// ParseFigures reads the Prometheus text format. Each figure has to be there, but responses
+// may be left out where there were none.
+func ParseFigures(text string) (f Figures, err error) {
+	parser := expfmt.NewTextParser(model.LegacyValidation)
+	families, err := parser.TextToMetricFamilies(strings.NewReader(text))
+	if err != nil {
+		return f, err
+	}
+	for name, to := range map[string]*float64{triesName: &f.Tries, activeName: &f.Active, poolSizeName: &f.PoolSize, ejectedName: &f.Ejected} {
+		metrics := families[name].GetMetric()
+		if len(metrics) != 1 {
+			return f, fmt.Errorf("the figures hold %s %d times", name, len(metrics))
+		}
+		*to = value(metrics[0])
+	}
+	f.Responses = map[string]Responses{}
+	for _, metric := range families[responsesName].GetMetric() {
+		if err := f.addResponses(metric); err != nil {
+			return f, err
+		}
+	}
+	return f, nil
+}
+
+func (f *Figures) addResponses(metric *dto.Metric) error {
+	labels := map[string]string{}
+	for _, label := range metric.GetLabel() {
+		labels[label.GetName()] = label.GetValue()
+	}
+	responses := f.Responses[labels["kind"]]
+	switch labels["result"] {
+	case "ok":
+		responses.OK = value(metric)
+	case "shed":
+		responses.Shed = value(metric)
+	case "errors":
+		responses.Errors = value(metric)
+	default:
+		return fmt.Errorf("%s has the unknown labels %v", responsesName, labels)
+	}
+	f.Responses[labels["kind"]] = responses
+	return nil
+}
+
+// value is a metric's number, whichever type the text says that it has.
+func value(metric *dto.Metric) float64 {
+	return metric.GetCounter().GetValue() + metric.GetGauge().GetValue() + metric.GetUntyped().GetValue()
+}
+
+// Within reports whether a figure is as close to the true number as is owed.
+func Within(figure, truth, share float64) bool {
+	return math.Abs(figure-truth) <= max(share*truth, slack)
+}
+
+// Disagreement returns in words how the responses differ from the submitters' own tally, and
+// "" where they agree.
+func (f Figures) Disagreement(answers map[string]Responses) string {
+	var faults []string
+	check := func(class, result string, figure, truth float64) {
+		if !Within(figure, truth, JobsShare) {
+			faults = append(faults, fmt.Sprintf("%s %s: the figures say %.0f, submitters received %.0f", class, result, figure, truth))
+		}
+	}
+	for class, truth := range answers {
+		told := f.Responses[class]
+		check(class, "ok", told.OK, truth.OK)
+		check(class, "shed", told.Shed, truth.Shed)
+		check(class, "errors", told.Errors, truth.Errors)
+	}
+	return strings.Join(faults, "; ")
+}
--- /dev/null
+++ b/internal/lab/service/judge_test.go
@@ -0,0 +1,98 @@
+package service
+
+import (
+	"testing"
+	"time"
+)
+
+const figuresText = `# TYPE scheduler_responses_total counter
+scheduler_responses_total{kind="reading",result="ok"} 812
+scheduler_responses_total{kind="reading",result="shed"} 40
+scheduler_responses_total{kind="ratify",result="errors"} 7
+# TYPE scheduler_tries_total counter
+scheduler_tries_total 900
+scheduler_active 14
+scheduler_pool_size 8
+scheduler_pool_ejected 1
+`
+
+// Figures are read with and without types, and compared with the tally.
+func TestFiguresAreRead(t *testing.T) {
+	f, err := ParseFigures(figuresText)
+	must(t, err)
+	if f.Tries != 900 || f.Active != 14 || f.PoolSize != 8 || f.Ejected != 1 {
+		t.Errorf("read: %+v", f)
+	}
+	truth := map[string]Responses{"reading": {OK: 815, Shed: 43}, "ratify": {Errors: 4}}
+	if text := f.Disagreement(truth); text != "" {
+		t.Error(text)
+	}
+	truth["reading"] = Responses{OK: 830, Shed: 40}
+	if f.Disagreement(truth) == "" {
+		t.Error("812 agree with 830")
+	}
+	for name, text := range map[string]string{
+		"nothing": "", "no pool": "scheduler_tries_total 1\nscheduler_active 1\nscheduler_pool_ejected 0\n",
+		"an unknown result": figuresText + `scheduler_responses_total{kind="reading",result="maybe"} 1` + "\n",
+	} {
+		if _, err := ParseFigures(text); err == nil {
+			t.Errorf("%s is taken for figures", name)
+		}
+	}
+}
+
+// The judge sees each fault, and excuses only what died with a killed process.
+func TestUpgradesAreJudged(t *testing.T) {
+	at := func(ms int) time.Time { return time.UnixMilli(int64(ms)) }
+	failed := func(fate Fate, began, ended int) Record {
+		return Record{ID: "a/ratify/1", Class: "ratify", Sends: []Send{{Began: at(began), Ended: at(ended), Fate: fate}}}
+	}
+	good := func() UpgradesResult {
+		r := UpgradesResult{Asked: 2, Handovers: []Handover{{Began: at(100), Yes: time.Second}, {Began: at(900), Yes: time.Second}}, Tally: newTally()}
+		r.Tally.Answers["reading"] = Responses{OK: 1}
+		return r
+	}
+	turned := func(moments ...int) func(*UpgradesResult) {
+		return func(r *UpgradesResult) {
+			for _, m := range moments {
+				r.Tally.TurnedBack = append(r.Tally.TurnedBack, failed(Unheard, m, m+1))
+			}
+		}
+	}
+	killed := func(r *UpgradesResult) {
+		r.Outages = []Outage{{at(300), at(350)}}
+		r.Tally.Lost = append(r.Tally.Lost, failed(Cut, 250, 302))
+	}
+	for name, c := range map[string]struct {
+		ok     bool
+		change func(*UpgradesResult)
+	}{
+		"nothing":                          {true, func(*UpgradesResult) {}},
+		"lost":                             {false, func(r *UpgradesResult) { r.Tally.Lost = []Record{failed(Cut, 1, 2)} }},
+		"wrong":                            {false, func(r *UpgradesResult) { r.Tally.Wrong = []Record{failed(Answered, 1, 2)} }},
+		"twice":                            {false, func(r *UpgradesResult) { r.Twice = []string{"a"} }},
+		"a late yes":                       {false, func(r *UpgradesResult) { r.Handovers[1].Yes = YesLimit + 1 }},
+		"an upgrade missing":               {false, func(r *UpgradesResult) { r.Asked = 3 }},
+		"no job served":                    {false, func(r *UpgradesResult) { clear(r.Tally.Answers) }},
+		"two turned back in each":          {true, turned(150, 160, 950, 960)},
+		"three turned back in one":         {false, turned(150, 160, 170)},
+		"died with a killed process":       {true, killed},
+		"lost before the kill":             {false, func(r *UpgradesResult) { killed(r); r.Tally.Lost[0] = failed(Cut, 250, 299) }},
+		"lost after the kill":              {false, func(r *UpgradesResult) { killed(r); r.Tally.Lost[0] = failed(Cut, 351, 360) }},
+		"three turned back, one by a kill": {true, func(r *UpgradesResult) { killed(r); turned(150, 160, 310)(r) }},
+	} {
+		r := good()
+		if c.change(&r); r.OK() != c.ok {
+			t.Errorf("%s: passes: %v; %s", name, r.OK(), r.Line())
+		}
+	}
+}
+
+// A fault that no trial knows is said so.
+func TestUnknownFault(t *testing.T) {
+	u := DefaultUpgrades
+	u.Fault = "kill-all"
+	if _, err := u.Run(t.Context(), t.Output()); err != errUnknownFault {
+		t.Error(err)
+	}
+}
--- /dev/null
+++ b/internal/lab/service/listening.go
@@ -0,0 +1,75 @@
+package service
+
+import (
+	"bufio"
+	"fmt"
+	"net"
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
+)
+
+// The columns of the kernel's table of TCP sockets, and its word for a listening one.
+const (
+	tcpTable       = "/proc/net/tcp"
+	localColumn    = 1
+	stateColumn    = 3
+	inodeColumn    = 9
+	tcpColumns     = 10
+	listeningState = "0A"
+)
+
+// Listens reports whether a process listens on an IPv4 address.
+func Listens(process int, address string) (bool, error) {
+	inodes, err := listeners(address)
+	if err != nil {
+		return false, err
+	}
+	links, err := filepath.Glob(fmt.Sprintf("/proc/%d/fd/*", process))
+	if err != nil {
+		return false, err
+	}
+	for _, link := range links {
+		// One that was closed in the meantime has no target.
+		if target, err := os.Readlink(link); err == nil && inodes[target] {
+			return true, nil
+		}
+	}
+	return false, nil
+}
+
+// listeners returns the listening sockets on an address, each as the target of a descriptor.
+func listeners(address string) (map[string]bool, error) {
+	local, err := tableAddress(address)
+	if err != nil {
+		return nil, err
+	}
+	table, err := os.Open(tcpTable)
+	if err != nil {
+		return nil, err
+	}
+	defer table.Close()
+	inodes := map[string]bool{}
+	lines := bufio.NewScanner(table)
+	for lines.Scan() {
+		if columns := strings.Fields(lines.Text()); len(columns) >= tcpColumns && columns[localColumn] == local && columns[stateColumn] == listeningState {
+			inodes["socket:["+columns[inodeColumn]+"]"] = true
+		}
+	}
+	return inodes, lines.Err()
+}
+
+// tableAddress words an address as the kernel's table does: the IP address as a number in the
+// machine's own order of bytes.
+func tableAddress(address string) (string, error) {
+	host, port, err := net.SplitHostPort(address)
+	if err != nil {
+		return "", err
+	}
+	ip, number := net.ParseIP(host).To4(), 0
+	if number, err = strconv.Atoi(port); err != nil || ip == nil {
+		return "", fmt.Errorf("no IPv4 address with a port: %q", address)
+	}
+	return fmt.Sprintf("%02X%02X%02X%02X:%04X", ip[3], ip[2], ip[1], ip[0], number), nil
+}
--- /dev/null
+++ b/internal/lab/service/load.go
@@ -0,0 +1,199 @@
+package service
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/vatu-meals/foxlift/internal/lab"
+)
+
+// sends is how often a job is sent at most: a second time only after it was turned back unheard.
+const sends = 2
+
+// grace is how long submitters wait beyond the time that a job has.
+const grace = 500 * time.Millisecond
+
+// A LoadOptions is a steady, bounded load.
+type LoadOptions struct {
+	Name  string  // begins the jobs' ids
+	Rate  float64 // jobs a second, Poisson
+	Seed  uint64
+	Fresh float64 // share of the jobs that come on a connection of their own
+	Keep  int     // idle connections that are kept at most; used in turn
+	Most  int     // jobs open at a time; arrivals beyond are left out
+}
+
+// DefaultLoad is a tenth of what DefaultWorld can do.
+var DefaultLoad = LoadOptions{Name: "load", Rate: 60, Seed: 1, Fresh: 0.25, Keep: 24, Most: 128}
+
+// A Load is submitters at one address, on kept and on fresh connections.
+type Load struct {
+	LoadOptions
+	addr    string
+	classes []lab.Class
+	tenants []lab.Tenant
+	stop    chan struct{}
+	wait    sync.WaitGroup
+
+	mu    sync.Mutex
+	idle  []*connection // the one that was used last is the last
+	open  int           // jobs
+	tally Tally
+}
+
+// StartLoad begins jobs of a world's classes and tenants.
+func StartLoad(addr string, world lab.World, o LoadOptions) *Load {
+	l := &Load{LoadOptions: o, addr: addr, classes: world.Classes, tenants: world.Tenants, stop: make(chan struct{}), tally: newTally()}
+	l.wait.Go(l.run)
+	return l
+}
+
+// Stop ends the load, waits for all answers and returns what became of the jobs.
+func (l *Load) Stop() Tally {
+	close(l.stop)
+	l.wait.Wait()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, c := range l.idle {
+		c.Close()
+	}
+	l.idle = nil
+	return l.tally
+}
+
+// Answered returns how many jobs have ended, and how many of them were turned back unheard.
+func (l *Load) Answered() (ended, turnedBack int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.tally.Asked, len(l.tally.TurnedBack)
+}
+
+// run draws the arrivals until Stop.
+func (l *Load) run() {
+	rng := rand.New(rand.NewPCG(l.Seed, 17))
+	next := time.Now()
+	for number := 1; ; number++ {
+		next = next.Add(time.Duration(rng.ExpFloat64() / l.Rate * float64(time.Second)))
+		class, tenant, fresh := l.class(rng.Float64()), l.tenant(rng.Float64()), rng.Float64() < l.Fresh
+		select {
+		case <-time.After(time.Until(next)):
+		case <-l.stop:
+			return
+		}
+		if !l.enter() {
+			continue
+		}
+		id := fmt.Sprintf("%s/%s/%s/%d", l.Name, tenant.Name, class.Name, number)
+		l.wait.Go(func() { l.submit(id, class, tenant.Name, fresh) })
+	}
+}
+
+func (l *Load) class(drawn float64) lab.Class {
+	for _, c := range l.classes {
+		if drawn -= c.Part; drawn < 0 {
+			return c
+		}
+	}
+	return l.classes[0]
+}
+
+func (l *Load) tenant(drawn float64) lab.Tenant {
+	for _, t := range l.tenants {
+		if drawn -= t.Share; drawn < 0 {
+			return t
+		}
+	}
+	return l.tenants[0]
+}
+
+// enter counts a job in, unless too many are open.
+func (l *Load) enter() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.open >= l.Most {
+		return false
+	}
+	l.open++
+	return true
+}
+
+// submit sends one job until it has an answer or may not be sent again.
+func (l *Load) submit(id string, class lab.Class, tenant string, fresh bool) {
+	text := requestText(id, class, tenant)
+	record := Record{ID: id, Class: class.Name}
+	until := time.Now().Add(class.Wait + grace)
+	var got answer
+	for len(record.Sends) < sends {
+		var send Send
+		got, send = l.send(text, fresh || len(record.Sends) > 0, until)
+		record.Sends = append(record.Sends, send)
+		if send.Fate != Unheard {
+			break
+		}
+	}
+	record.Status = got.Status
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.open--
+	l.tally.add(record, got.Body)
+}
+
+// requestText is a job as it goes over the wire.
+func requestText(id string, class lab.Class, tenant string) string {
+	const body = "body"
+	return fmt.Sprintf("POST /%s HTTP/1.1\r\nHost: app.svc\r\nX-Txn: %s\r\nX-Lane: %s\r\nX-Org: %s\r\nX-Remaining: %dm\r\nContent-Length: %d\r\n\r\n%s",
+		class.Name, id, class.Name, tenant, class.Wait.Milliseconds(), len(body), body)
+}
+
+// send sends a request once, on a kept connection or on a new one.
+func (l *Load) send(text string, fresh bool, until time.Time) (got answer, s Send) {
+	s.Began = time.Now()
+	var c *connection
+	if !fresh {
+		c = l.take()
+	}
+	if s.Fresh = c == nil; s.Fresh {
+		if c, s.Err = dial(l.addr, until); s.Err != nil {
+			s.Fate, s.Ended = Unheard, time.Now()
+			return got, s
+		}
+	}
+	s.Port = c.port()
+	got, s.Fate, s.Err = c.ask(text, until)
+	s.Ended = time.Now()
+	if s.Fate == Answered && !fresh {
+		l.keep(c)
+	} else {
+		c.Close()
+	}
+	return got, s
+}
+
+// take returns the connection that has been idle for longest and is still open; nil: there is
+// none.
+func (l *Load) take() *connection {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for len(l.idle) > 0 {
+		c := l.idle[0]
+		l.idle = l.idle[1:]
+		if c.usable() {
+			return c
+		}
+		c.Close()
+	}
+	return nil
+}
+
+// keep keeps a connection for a later job, while there is room.
+func (l *Load) keep(c *connection) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if len(l.idle) >= l.Keep || c.closes {
+		c.Close()
+		return
+	}
+	l.idle = append(l.idle, c)
+}
--- /dev/null
+++ b/internal/lab/service/main_test.go
@@ -0,0 +1,120 @@
+package service
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"github.com/vatu-meals/foxlift/internal/lab"
+)
+
+var program string // the built binary
+
+func TestMain(m *testing.M) {
+	dir, err := os.MkdirTemp("", "foxlift-build-")
+	if err != nil {
+		panic(err)
+	}
+	program = filepath.Join(dir, "foxlift")
+	code := 1
+	if out, err := exec.Command("go", "build", "-o", program, "../../../cmd/foxlift").CombinedOutput(); err != nil {
+		fmt.Fprintf(os.Stderr, "go build: %v\n%s", err, out)
+	} else {
+		code = m.Run()
+	}
+	os.RemoveAll(dir)
+	os.Exit(code)
+}
+
+// patience is for what comes at its own pace: far beyond any rule.
+const patience = 30 * time.Second
+
+func must(t *testing.T, err error) {
+	t.Helper()
+	if err != nil {
+		t.Fatal(err)
+	}
+}
+
+// await waits until a condition holds, and fails after a limit.
+func await(t *testing.T, what string, limit time.Duration, holds func() bool) {
+	t.Helper()
+	for end := time.Now().Add(limit); !holds(); <-time.After(pollEvery) {
+		if time.Now().After(end) {
+			t.Fatalf("not within %v: %s", limit, what)
+		}
+	}
+}
+
+// deploy starts a world's scheduler and ends it with the test.
+func deploy(t *testing.T, world lab.World) *Deployment {
+	t.Helper()
+	d, err := Deploy(t.Context(), program, world)
+	must(t, err)
+	t.Cleanup(d.Close)
+	return d
+}
+
+// size is small in short runs of the tests.
+func size(short, whole int) int {
+	if testing.Short() {
+		return short
+	}
+	return whole
+}
+
+// A scene is a deployment under load.
+type scene struct {
+	*Deployment
+	load  *Load
+	began time.Time
+}
+
+// underLoad starts a deployment and a load, and returns once jobs are being answered.
+func underLoad(t *testing.T) *scene {
+	t.Helper()
+	d := deploy(t, DefaultWorld())
+	s := &scene{d, StartLoad(d.Addr(), d.Fleet.World, DefaultLoad), time.Now()}
+	s.goesOn(t)
+	return s
+}
+
+// goesOn waits until some more jobs have ended.
+func (s *scene) goesOn(t *testing.T) {
+	t.Helper()
+	before, _ := s.load.Answered()
+	await(t, "jobs are answered", patience, func() bool {
+		now, _ := s.load.Answered()
+		return now >= before+20
+	})
+}
+
+// ends ends the load and judges: no job is lost, none that must not ran twice, and in each
+// upgrade two at most were turned back unheard.
+func (s *scene) ends(t *testing.T, upgrades int) {
+	t.Helper()
+	tally := s.load.Stop()
+	t.Log(tally.Line())
+	for _, record := range tally.Lost {
+		t.Error("lost:", record.Text(s.began))
+	}
+	for _, record := range tally.Wrong {
+		t.Error("wrong result:", record.Text(s.began))
+	}
+	if len(tally.TurnedBack) > mostTurnedBack*upgrades {
+		for _, record := range tally.TurnedBack {
+			t.Error("turned back:", record.Text(s.began))
+		}
+	}
+	if ids := s.Fleet.Twice(); len(ids) > 0 {
+		t.Errorf("ran twice: %v", ids)
+	}
+	if sum := tally.Total(); sum.OK == 0 {
+		t.Error("no job was served")
+	}
+	must(t, s.End(context.Background()))
+}
--- /dev/null
+++ b/internal/lab/service/operators.go
@@ -0,0 +1,81 @@
+package service
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"time"
+)
+
+// AnswerLimit is within what time each call to the operators' address is owed its answer.
+const AnswerLimit = time.Second
+
+// Operators calls a scheduler's second address, as the platform does: one call on each
+// connection.
+type Operators struct{ Addr string }
+
+// A StatusError is an answer that is not a yes.
+type StatusError struct {
+	Call   string
+	Status int
+}
+
+// Error names the call and its answer.
+func (e *StatusError) Error() string { return fmt.Sprintf("%s was answered %d", e.Call, e.Status) }
+
+// Health asks whether the process is ready to serve; nil: it is.
+func (o Operators) Health(ctx context.Context) error {
+	_, err := o.call(ctx, http.MethodGet, "/admin/health")
+	return err
+}
+
+// Stats fetches the figures.
+func (o Operators) Stats(ctx context.Context) (Figures, error) {
+	text, err := o.call(ctx, http.MethodGet, "/admin/stats")
+	if err != nil {
+		return Figures{}, err
+	}
+	return ParseFigures(text)
+}
+
+// Quiesce has the scheduler send its clients away.
+func (o Operators) Quiesce(ctx context.Context) error {
+	_, err := o.call(ctx, http.MethodPut, "/admin/quiesce")
+	return err
+}
+
+// Resume has it serve again.
+func (o Operators) Resume(ctx context.Context) error {
+	_, err := o.call(ctx, http.MethodPut, "/admin/resume")
+	return err
+}
+
+func (o Operators) call(ctx context.Context, method, path string) (string, error) {
+	return Fetch(ctx, method, "http://"+o.Addr+path)
+}
+
+// Fetch makes one call on a connection of its own, within AnswerLimit, and returns the body
+// of a 2xx.
+func Fetch(ctx context.Context, method, url string) (string, error) {
+	limited, cancel := context.WithTimeout(ctx, AnswerLimit)
+	defer cancel()
+	request, err := http.NewRequestWithContext(limited, method, url, nil)
+	if err != nil {
+		return "", err
+	}
+	transport := &http.Transport{DisableKeepAlives: true}
+	response, err := transport.RoundTrip(request)
+	if err != nil {
+		return "", err
+	}
+	defer response.Body.Close()
+	body, err := io.ReadAll(response.Body)
+	if err != nil {
+		return "", err
+	}
+	if response.StatusCode/100 != 2 {
+		return "", &StatusError{method + " " + url, response.StatusCode}
+	}
+	return string(body), nil
+}
--- /dev/null
+++ b/internal/lab/service/tally.go
@@ -0,0 +1,121 @@
+package service
+
+import (
+	"fmt"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+)
+
+// A Send is one try at handing a job to the scheduler.
+type Send struct {
+	Began, Ended time.Time
+	Port         string // the submitter's; "": no connection came up
+	Fresh        bool   // the connection had carried nothing before
+	Fate         Fate
+	Err          error // what happened, where there was no answer
+}
+
+// A Record is one job with all its sends.
+type Record struct {
+	ID, Class string
+	Sends     []Send
+	Status    int // of its answer; 0: none
+}
+
+// last is the send that decided what became of the job.
+func (r Record) last() Send { return r.Sends[len(r.Sends)-1] }
+
+// Lost reports whether the job has no whole answer.
+func (r Record) Lost() bool { return r.last().Fate != Answered }
+
+// Text tells the job's sends, with times since a moment.
+func (r Record) Text(since time.Time) string {
+	var sends []string
+	for _, s := range r.Sends {
+		text := fmt.Sprintf("sent at %.3f s from port %q (fresh: %v), %s at %.3f s", s.Began.Sub(since).Seconds(), s.Port, s.Fresh, s.Fate, s.Ended.Sub(since).Seconds())
+		if s.Err != nil {
+			text += " (" + s.Err.Error() + ")"
+		}
+		sends = append(sends, text)
+	}
+	return fmt.Sprintf("job %s: %s", r.ID, strings.Join(sends, ", then "))
+}
+
+// Latencies are recorded in microseconds, up to a minute.
+const (
+	latencyUnit   = time.Microsecond
+	latencyMost   = time.Minute
+	latencyDigits = 3
+)
+
+// A Tally is what became of jobs.
+type Tally struct {
+	Asked      int
+	Answers    map[string]Responses // by class
+	Rejected   int                  // 4xx but 429: the scheduler did not take the job
+	Wrong      []Record             // answered as served, with another job's result or none
+	Lost       []Record
+	TurnedBack []Record // unheard at least once
+	Latency    *hdrhistogram.Histogram
+}
+
+func newTally() Tally {
+	return Tally{Answers: map[string]Responses{}, Latency: hdrhistogram.New(1, int64(latencyMost/latencyUnit), latencyDigits)}
+}
+
+// add counts a job that has ended, with the answer's body.
+func (t *Tally) add(r Record, body string) {
+	t.Asked++
+	for _, s := range r.Sends {
+		if s.Fate == Unheard {
+			t.TurnedBack = append(t.TurnedBack, r)
+			break
+		}
+	}
+	if r.Lost() {
+		t.Lost = append(t.Lost, r)
+		return
+	}
+	t.Latency.RecordValue(int64(r.last().Ended.Sub(r.Sends[0].Began) / latencyUnit))
+	responses := t.Answers[r.Class]
+	switch {
+	case r.Status == http.StatusOK:
+		responses.OK++
+		if !strings.Contains(body, resultOf(r)) {
+			t.Wrong = append(t.Wrong, r)
+		}
+	case r.Status == http.StatusTooManyRequests || r.Status == http.StatusServiceUnavailable:
+		responses.Shed++
+	case r.Status/100 == 4:
+		t.Rejected++
+	default:
+		responses.Errors++
+	}
+	t.Answers[r.Class] = responses
+}
+
+// resultOf is how the result of a job begins that a stand-in node has run.
+func resultOf(r Record) string { return fmt.Sprintf("%s of %s by ", r.ID, r.Class) }
+
+// Total is the sum of the answers over all classes.
+func (t Tally) Total() (sum Responses) {
+	for _, r := range t.Answers {
+		sum.OK += r.OK
+		sum.Shed += r.Shed
+		sum.Errors += r.Errors
+	}
+	return sum
+}
+
+// Line sums the tally up.
+func (t Tally) Line() string {
+	sum := t.Total()
+	at := func(percent float64) float64 {
+		return (time.Duration(t.Latency.ValueAtQuantile(percent)) * latencyUnit).Seconds()
+	}
+	return fmt.Sprintf("jobs %d: ok %.0f, shed %.0f, errors %.0f, rejected %d, lost %d, wrong %d, turned back unheard %d; answered after %.3f s at the median, %.3f s at 99 %%, %.3f s at most",
+		t.Asked, sum.OK, sum.Shed, sum.Errors, t.Rejected, len(t.Lost), len(t.Wrong), len(t.TurnedBack), at(50), at(99), at(100))
+}
--- /dev/null
+++ b/internal/lab/service/upgrade_test.go
@@ -0,0 +1,107 @@
+package service
+
+import (
+	"os"
+	"strings"
+	"syscall"
+	"testing"
+)
+
+// plays a trial and judges it.
+func plays(t *testing.T, u Upgrades) UpgradesResult {
+	t.Helper()
+	u.Program = program
+	var report strings.Builder
+	r, err := u.Run(t.Context(), &report)
+	t.Log(report.String())
+	must(t, err)
+	if !r.OK() {
+		t.Error(r.Line())
+	}
+	return r
+}
+
+// Under load, one upgrade after another costs no job.
+func TestUpgradesInARow(t *testing.T) {
+	u := DefaultUpgrades
+	u.Upgrades = size(3, 6)
+	plays(t, u)
+}
+
+// A new process that is killed before its yes, or stands still first, costs no job: the old
+// one goes on, and the next one takes over.
+func TestNewProcessFailsBeforeItsYes(t *testing.T) {
+	for _, fault := range []Fault{KillNew, StopNew} {
+		t.Run(string(fault), func(t *testing.T) {
+			u := DefaultUpgrades
+			u.Upgrades, u.Fault = size(3, 6), fault
+			if r := plays(t, u); r.Placed == 0 {
+				t.Error("each new process listened before it could be stopped")
+			}
+		})
+	}
+}
+
+// The old process is killed after each step of an upgrade: what it had is gone, all else is
+// answered, and none that must not runs twice.
+func TestOldProcessKilledAmidTheUpgrade(t *testing.T) {
+	u := DefaultUpgrades
+	u.Upgrades, u.Fault = int(steps)*size(1, 2), KillOld
+	plays(t, u)
+}
+
+// Both processes are told to read their files again, before the old one is told to end and after.
+func TestReloadAmidTheUpgrade(t *testing.T) {
+	s := underLoad(t)
+	old := s.Current
+	next, err := s.StartNext()
+	must(t, err)
+	_, err = AwaitYes(t.Context(), next)
+	must(t, err)
+	must(t, old.Signal(syscall.SIGHUP))
+	must(t, next.Signal(syscall.SIGHUP))
+	leaving, err := s.TakeOver(next)
+	must(t, err)
+	must(t, next.Signal(syscall.SIGHUP))
+	if err := old.Signal(syscall.SIGHUP); err != nil && err != os.ErrProcessDone {
+		t.Fatal(err)
+	}
+	must(t, leaving.Await(t.Context()))
+	s.goesOn(t)
+	s.ends(t, 1)
+}
+
+// The old process is drained while the new one starts.
+func TestQuiesceAmidTheUpgrade(t *testing.T) {
+	s := underLoad(t)
+	old := Operators{s.Current.Admin}
+	next, err := s.StartNext()
+	must(t, err)
+	must(t, old.Quiesce(t.Context()))
+	_, err = AwaitYes(t.Context(), next)
+	must(t, err)
+	leaving, err := s.TakeOver(next)
+	must(t, err)
+	must(t, leaving.Await(t.Context()))
+	s.goesOn(t)
+	s.ends(t, 1)
+}
+
+// The second upgrade begins at the first one's yes: three processes are there at a time.
+func TestTwoUpgradesWithoutPause(t *testing.T) {
+	s := underLoad(t)
+	var leaving [2]*Leaving
+	for i := range leaving {
+		next, err := s.StartNext()
+		must(t, err)
+		_, err = AwaitYes(t.Context(), next)
+		must(t, err)
+		leaving[i], err = s.TakeOver(next)
+		must(t, err)
+	}
+	for _, l := range leaving {
+		must(t, l.Await(t.Context()))
+	}
+	s.goesOn(t)
+	s.ends(t, len(leaving))
+}
--- a/internal/standin/node.go
+++ b/internal/standin/node.go
@@ -138,6 +138,7 @@
 	slots     chan struct{}
 	room      chan struct{}
 	behaviour atomic.Pointer[Behaviour]
+	requests  atomic.Int64 // with a job
 	mu        sync.Mutex
 	runs      map[string]int
 	tenants   map[string]int
@@ -220,6 +221,10 @@
 	n.server.Reset()
 }
 
+// Requests returns how many whole requests with a job have been read here, also those that
+// were turned away. Probes are none.
+func (n *Node) Requests() int64 { return n.requests.Load() }
+
 // Runs returns how often each job was begun here.
 func (n *Node) Runs() map[string]int {
 	n.mu.Lock()
@@ -243,6 +248,9 @@
 }
 
 func (n *Node) handle(c net.Conn, r *http.Request, id string) bool {
+	if id != "" {
+		n.requests.Add(1)
+	}
 	b := *n.behaviour.Load()
 	class, _, _ := strings.Cut(strings.TrimPrefix(r.URL.Path, "/"), "/")
 	work := n.Work(class)
