--- /dev/null
+++ b/internal/lab/service/duress_test.go
@@ -0,0 +1,102 @@
+package service
+
+import (
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+)
+
+// callers is how many hold a call on the operators' address that they do not finish.
+const callers = 200
+
+// holdCalls has them hold one until the test's end: one that is closed comes again.
+func holdCalls(t *testing.T, addr string) {
+	t.Helper()
+	stop := make(chan struct{})
+	var held, wait sync.WaitGroup
+	held.Add(callers)
+	for range callers {
+		wait.Go(func() {
+			first := sync.OnceFunc(held.Done)
+			defer first()
+			for {
+				if c, err := net.DialTimeout("tcp", addr, patience); err == nil {
+					io.WriteString(c, "GET /admin/hea")
+					first()
+					ended := make(chan struct{})
+					go func() { defer close(ended); io.Copy(io.Discard, c) }()
+					select {
+					case <-ended:
+					case <-stop:
+					}
+					c.Close()
+					<-ended
+				}
+				select {
+				case <-stop:
+					return
+				case <-time.After(10 * pollEvery):
+				}
+			}
+		})
+	}
+	t.Cleanup(func() { close(stop); wait.Wait() })
+	held.Wait()
+}
+
+// Beside callers that do not finish their calls, and under load, each call has its answer in
+// time.
+func TestOperatorsAreAnsweredBesideHeldCalls(t *testing.T) {
+	s := underLoad(t)
+	holdCalls(t, s.Current.Admin)
+	operators := Operators{s.Current.Admin}
+	slowest := time.Duration(0)
+	timed := func(what string, err error, began time.Time) {
+		took := time.Since(began)
+		if slowest = max(slowest, took); err != nil || took > AnswerLimit {
+			t.Errorf("%s: %v after %v", what, err, took)
+		}
+	}
+	for range size(20, 100) {
+		began := time.Now()
+		err := operators.Health(t.Context())
+		timed("health", err, began)
+		began = time.Now()
+		_, err = operators.Stats(t.Context())
+		timed("stats", err, began)
+	}
+	began := time.Now()
+	timed("quiesce", operators.Quiesce(t.Context()), began)
+	began = time.Now()
+	timed("resume", operators.Resume(t.Context()), began)
+	t.Logf("the slowest answer came after %v", slowest)
+	await(t, "yes", 2*time.Second, func() bool { return frontHealth(t, s.Deployment) == nil })
+	s.ends(t, 1)
+}
+
+// frontHealth asks for the health that the front sees; nil: yes.
+func frontHealth(t *testing.T, d *Deployment) error {
+	_, err := Fetch(t.Context(), http.MethodGet, "http://"+d.Addr()+"/_health")
+	return err
+}
+
+// What is no call is answered with a no, and changes nothing.
+func TestWrongCallsAreRefused(t *testing.T) {
+	d := deploy(t, DefaultWorld())
+	for _, call := range []struct{ method, path string }{
+		{http.MethodGet, "/admin/quiesce"}, {http.MethodGet, "/admin/resume"}, {http.MethodPut, "/admin/health"},
+		{http.MethodPost, "/admin/stats"}, {http.MethodGet, "/"}, {http.MethodGet, "/admin/healthy"},
+	} {
+		_, err := Fetch(t.Context(), call.method, "http://"+d.Current.Admin+call.path)
+		var status *StatusError
+		if !errors.As(err, &status) || status.Status/100 != 4 {
+			t.Errorf("%s %s: %v", call.method, call.path, err)
+		}
+	}
+	must(t, frontHealth(t, d))
+	must(t, Operators{d.Current.Admin}.Health(t.Context()))
+}
--- /dev/null
+++ b/internal/lab/service/quiesce_test.go
@@ -0,0 +1,172 @@
+package service
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+)
+
+// The rules of a drain.
+const (
+	drainLimit  = 4 * time.Second // from the drain's start until no client's connection is idle
+	resumeLimit = 2 * time.Second // from the drain's end until yes is due
+)
+
+// A guest is a connection that a client keeps for as long as the scheduler does.
+type guest struct {
+	*connection
+	closed chan struct{} // when the scheduler has ended it
+}
+
+// newGuest connects; once it has run jobs on it, wait begins to watch for its end.
+func newGuest(t *testing.T, d *Deployment) *guest {
+	t.Helper()
+	c, err := dial(d.Addr(), time.Now().Add(patience))
+	must(t, err)
+	t.Cleanup(func() { c.Close() })
+	return &guest{c, make(chan struct{})}
+}
+
+// wait reads until the connection's end.
+func (g *guest) wait() {
+	defer close(g.closed)
+	g.SetDeadline(time.Now().Add(patience))
+	g.reader.ReadByte()
+}
+
+// quiesced drains a scheduler, and checks that its next health is a no.
+func quiesced(t *testing.T, d *Deployment) (began time.Time) {
+	t.Helper()
+	began = time.Now()
+	must(t, Operators{d.Current.Admin}.Quiesce(t.Context()))
+	var status *StatusError
+	if err := frontHealth(t, d); !errors.As(err, &status) {
+		t.Errorf("after the drain's start health says %v", err)
+	}
+	return began
+}
+
+// resumed ends a drain, checks that a yes comes in time, and that a job is served then.
+func resumed(t *testing.T, d *Deployment) {
+	t.Helper()
+	must(t, Operators{d.Current.Admin}.Resume(t.Context()))
+	await(t, "yes after the drain's end", resumeLimit, func() bool { return frontHealth(t, d) == nil })
+	g := newGuest(t, d)
+	text := requestText("resumed/north/reading/1", d.Fleet.Classes[0], "north")
+	if a, fate, err := g.ask(text, time.Now().Add(patience)); fate != Answered || a.Status != http.StatusOK {
+		t.Errorf("after the drain a job is %v, status %d (%v)", fate, a.Status, err)
+	}
+}
+
+// At a drain idle connections are closed, whether they have carried a job or nothing yet, jobs in
+// work are answered, and the process goes on.
+func TestQuiesceClosesIdleConnections(t *testing.T) {
+	const kept, silent, working = 10, 5, 8
+	world := DefaultWorld()
+	long := &world.Classes[1]
+	long.Work, long.Aim, long.Wait = 1500*time.Millisecond, 4*time.Second, 6*time.Second
+	d := deploy(t, world)
+	var idle []*guest
+	for i := range kept {
+		g := newGuest(t, d)
+		text := requestText(fmt.Sprintf("kept/north/reading/%d", i), world.Classes[0], "north")
+		if a, fate, err := g.ask(text, time.Now().Add(patience)); fate != Answered || a.Status != http.StatusOK {
+			t.Errorf("before the drain a job is %v, status %d (%v)", fate, a.Status, err)
+		}
+		idle = append(idle, g)
+	}
+	for range silent {
+		idle = append(idle, newGuest(t, d))
+	}
+	var work sync.WaitGroup
+	for i := range working {
+		g := newGuest(t, d)
+		text := requestText(fmt.Sprintf("working/north/ratify/%d", i), *long, "north")
+		work.Go(func() {
+			if a, fate, err := g.ask(text, time.Now().Add(patience)); fate != Answered || a.Status != http.StatusOK {
+				t.Errorf("a job in work at the drain is %v, status %d (%v)", fate, a.Status, err)
+			}
+			g.wait()
+		})
+		idle = append(idle, g)
+	}
+	await(t, "the jobs run", patience, func() bool { return runs(d) >= kept+working })
+	for _, g := range idle[:kept+silent] {
+		go g.wait()
+	}
+	began := quiesced(t, d)
+	for i, g := range idle {
+		select {
+		case <-g.closed:
+		case <-time.After(time.Until(began.Add(drainLimit))):
+			t.Errorf("connection %d of %d kept, %d silent and %d working ones is open after %v", i, kept, silent, working, drainLimit)
+		}
+	}
+	work.Wait()
+	must(t, Operators{d.Current.Admin}.alive(t.Context()))
+	resumed(t, d)
+	must(t, d.End(context.Background()))
+}
+
+// alive reports whether the process still answers its operators, with yes or no.
+func (o Operators) alive(ctx context.Context) error {
+	_, err := o.Stats(ctx)
+	return err
+}
+
+// Clients that go on with jobs on their open connections are sent away too: each connection ends
+// in time, and each job that was read has its answer.
+func TestQuiesceSendsBusyClientsAway(t *testing.T) {
+	const clients = 12
+	d := deploy(t, DefaultWorld())
+	var wait, busy sync.WaitGroup
+	busy.Add(clients)
+	quiesce := make(chan time.Time, clients)
+	for i := range clients {
+		g := newGuest(t, d)
+		wait.Go(func() {
+			first := sync.OnceFunc(busy.Done)
+			defer first()
+			var last time.Time
+			for number := 0; ; number++ {
+				text := requestText(fmt.Sprintf("busy-%d/south/reading/%d", i, number), d.Fleet.Classes[0], "south")
+				a, fate, err := g.ask(text, time.Now().Add(patience))
+				first()
+				if fate == Unheard || g.closes {
+					break
+				}
+				if last = time.Now(); fate != Answered {
+					t.Errorf("client %d, job %d: %v (%v)", i, number, fate, err)
+					break
+				} else if a.Status != http.StatusOK && a.Status != http.StatusServiceUnavailable {
+					t.Errorf("client %d, job %d: status %d", i, number, a.Status)
+				}
+			}
+			if began := <-quiesce; last.Sub(began) > drainLimit {
+				t.Errorf("client %d was served for %v after the drain's start", i, last.Sub(began))
+			}
+		})
+	}
+	busy.Wait()
+	began := quiesced(t, d)
+	for range clients {
+		quiesce <- began
+	}
+	wait.Wait()
+	resumed(t, d)
+	must(t, d.End(context.Background()))
+}
+
+// A drain that is asked for twice is one, and so is its end.
+func TestQuiesceAndResumeTwice(t *testing.T) {
+	d := deploy(t, DefaultWorld())
+	quiesced(t, d)
+	quiesced(t, d)
+	resumed(t, d)
+	resumed(t, d)
+	must(t, d.End(context.Background()))
+}
--- /dev/null
+++ b/internal/lab/service/stats_test.go
@@ -0,0 +1,152 @@
+package service
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/vatu-meals/foxlift/internal/standin"
+)
+
+// lateness is by how much figures may be late.
+const lateness = 500 * time.Millisecond
+
+// awaitFigures fetches the figures until they hold, which they do in time.
+func awaitFigures(t *testing.T, d *Deployment, what string, limit time.Duration, holds func(Figures) bool) {
+	t.Helper()
+	var last Figures
+	t.Cleanup(func() {
+		if t.Failed() {
+			t.Logf("the last figures: %+v", last)
+		}
+	})
+	await(t, what, limit, func() bool {
+		f, err := Operators{d.Current.Admin}.Stats(t.Context())
+		must(t, err)
+		last = f
+		return holds(f)
+	})
+}
+
+// After a load that is too much, with nodes that fail, the figures are the submitters' own.
+func TestFiguresAgreeWithSubmitters(t *testing.T) {
+	world := DefaultWorld()
+	world.Kinds[0].Count, world.Kinds[0].Slots = 4, 2
+	d := deploy(t, world)
+	o := DefaultLoad
+	o.Rate = 2.5 * world.Capacity()
+	load := StartLoad(d.Addr(), d.Fleet.World, o)
+	await(t, "jobs are answered", patience, func() bool { n, _ := load.Answered(); return n >= size(100, 400) })
+	for _, n := range d.Fleet.Nodes()[:2] {
+		n.Behave(standin.Behaviour{Fail: true})
+	}
+	await(t, "more jobs are answered", patience, func() bool { n, _ := load.Answered(); return n >= size(300, 1200) })
+	tally := load.Stop()
+	t.Log(tally.Line())
+	if sum := tally.Total(); sum.OK < 20 || sum.Shed < 20 || sum.Errors < 20 {
+		t.Errorf("too few of a kind to see anything: %+v", sum)
+	}
+	if len(tally.Lost) > 0 {
+		t.Errorf("lost: %v", tally.Lost)
+	}
+	var told Figures
+	defer func() {
+		t.Log(told.Disagreement(tally.Answers))
+		t.Logf("tries %.0f, the nodes have read %d", told.Tries, d.Fleet.Requests())
+	}()
+	awaitFigures(t, d, "the responses are the submitters'", lateness, func(f Figures) bool {
+		told = f
+		return f.Disagreement(tally.Answers) == ""
+	})
+	awaitFigures(t, d, "the tries are the nodes'", lateness, func(f Figures) bool {
+		told = f
+		return Within(f.Tries, float64(d.Fleet.Requests()), TriesShare)
+	})
+	if told.Active > slack {
+		t.Errorf("%.0f jobs are active, and all have ended", told.Active)
+	}
+}
+
+// served is how many jobs the figures say were served.
+func (f Figures) served() (sum float64) {
+	for _, r := range f.Responses {
+		sum += r.OK
+	}
+	return sum
+}
+
+// A process counts its own jobs only: after an upgrade it begins at 0.
+func TestFiguresBeginAtZero(t *testing.T) {
+	s := underLoad(t)
+	before, _ := s.load.Answered()
+	_, err := s.Upgrade(t.Context())
+	must(t, err)
+	s.goesOn(t)
+	tally := s.load.Stop()
+	most := float64(tally.Asked-before) + slack
+	awaitFigures(t, s.Deployment, "it counts some, and none from before the upgrade", lateness, func(f Figures) bool {
+		return f.served() > 0 && f.served() <= most
+	})
+	must(t, s.End(context.Background()))
+}
+
+// While jobs run, and wait for a node, as many are active; once they are answered, none is.
+func TestActiveJobsAreCounted(t *testing.T) {
+	const jobs = 24
+	world := DefaultWorld()
+	class := &world.Classes[1]
+	class.Work, class.Aim, class.Wait = 3*time.Second, 8*time.Second, 10*time.Second
+	d := deploy(t, world)
+	var wait sync.WaitGroup
+	for range jobs {
+		c, err := dial(d.Addr(), time.Now().Add(patience))
+		must(t, err)
+		t.Cleanup(func() { c.Close() })
+		text := requestText("active/north/ratify/"+c.port(), *class, "north")
+		wait.Go(func() {
+			if a, fate, err := c.ask(text, time.Now().Add(patience)); fate != Answered || a.Status != 200 {
+				t.Errorf("%v, status %d (%v)", fate, a.Status, err)
+			}
+		})
+	}
+	await(t, "the jobs run", patience, func() bool { return runs(d) >= jobs })
+	awaitFigures(t, d, "they are active", lateness, func(f Figures) bool { return Within(f.Active, jobs, ActiveShare) })
+	wait.Wait()
+	awaitFigures(t, d, "none is active", lateness, func(f Figures) bool { return Within(f.Active, 0, ActiveShare) })
+}
+
+// runs is how many different jobs the nodes have begun.
+func runs(d *Deployment) int {
+	ids := map[string]bool{}
+	for _, n := range d.Fleet.Nodes() {
+		for id := range n.Runs() {
+			ids[id] = true
+		}
+	}
+	return len(ids)
+}
+
+// The pool is as large as the machine list, also as that changes, and nodes that went away
+// without a word are told as avoided.
+func TestPoolIsTold(t *testing.T) {
+	d := deploy(t, DefaultWorld())
+	size := func(n float64) func(Figures) bool {
+		return func(f Figures) bool { return f.PoolSize == n && f.Ejected == 0 }
+	}
+	awaitFigures(t, d, "all nodes are in the pool", 2*time.Second, size(8))
+	added, err := d.Fleet.AddNode(d.Fleet.Kinds[0], time.Time{})
+	must(t, err)
+	awaitFigures(t, d, "another one is", 2*time.Second, size(9))
+	d.Fleet.Discovery.Put(added, "left")
+	awaitFigures(t, d, "it has left", 2*time.Second, size(8))
+	load := StartLoad(d.Addr(), d.Fleet.World, DefaultLoad)
+	for _, n := range d.Fleet.Nodes()[:2] {
+		n.Crash()
+	}
+	awaitFigures(t, d, "two are avoided", 10*time.Second, func(f Figures) bool { return f.PoolSize == 8 && f.Ejected == 2 })
+	if tally := load.Stop(); tally.Total().OK == 0 {
+		t.Error(tally.Line())
+	}
+	must(t, d.End(context.Background()))
+}
