--- a/internal/standin/node.go
+++ b/internal/standin/node.go
@@ -112,6 +112,7 @@
 	Slower   float64 // its jobs take this many times as long; 0 counts as 1
 	Hang     bool    // it takes jobs and answers none
 	Fail     bool    // it answers "failed" at once
+	FailOne  int64   // it does so for one of so many jobs; 0: for none
 	CutAfter int     // it resets the connection after this many bytes of its answer; 0: never
 }
 
@@ -248,10 +249,12 @@
 }
 
 func (n *Node) handle(c net.Conn, r *http.Request, id string) bool {
+	b := *n.behaviour.Load()
 	if id != "" {
-		n.requests.Add(1)
+		if number := n.requests.Add(1); b.FailOne > 0 && number%b.FailOne == 0 {
+			b.Fail = true
+		}
 	}
-	b := *n.behaviour.Load()
 	class, _, _ := strings.Cut(strings.TrimPrefix(r.URL.Path, "/"), "/")
 	work := n.Work(class)
 	if !n.bears(work) || b.Hang {
