--- a/internal/lab/service/duress_test.go
+++ b/internal/lab/service/duress_test.go
@@ -13,8 +13,11 @@
 // callers is how many hold a call on the operators' address that they do not finish.
 const callers = 200
 
-// holdCalls has them hold one until the test's end: one that is closed comes again.
-func holdCalls(t *testing.T, addr string) {
+// comeAgain is after what time a caller comes again whose connection was closed.
+const comeAgain = 50 * time.Millisecond
+
+// holdCalls has them hold one until the test's end. One that is closed comes again, or stays away.
+func holdCalls(t *testing.T, addr string, again bool) {
 	t.Helper()
 	stop := make(chan struct{})
 	var held, wait sync.WaitGroup
@@ -36,10 +39,13 @@
 					c.Close()
 					<-ended
 				}
+				if !again {
+					return
+				}
 				select {
 				case <-stop:
 					return
-				case <-time.After(10 * pollEvery):
+				case <-time.After(comeAgain):
 				}
 			}
 		})
@@ -49,10 +55,16 @@
 }
 
 // Beside callers that do not finish their calls, and under load, each call has its answer in
-// time.
+// time: also where they come again whenever their connection is closed.
 func TestOperatorsAreAnsweredBesideHeldCalls(t *testing.T) {
+	for name, again := range map[string]bool{"once": false, "again and again": true} {
+		t.Run(name, func(t *testing.T) { answeredBesideHeldCalls(t, again) })
+	}
+}
+
+func answeredBesideHeldCalls(t *testing.T, again bool) {
 	s := underLoad(t)
-	holdCalls(t, s.Current.Admin)
+	holdCalls(t, s.Current.Admin, again)
 	operators := Operators{s.Current.Admin}
 	slowest := time.Duration(0)
 	timed := func(what string, err error, began time.Time) {
