--- a/internal/lab/service/deployment.go
+++ b/internal/lab/service/deployment.go
@@ -41,8 +41,9 @@
 // A Deployment is a scheduler in service: the process that the platform takes for it, and all
 // that it meets.
 type Deployment struct {
-	Fleet   *fleet.Fleet
-	Current *fleet.Process
+	Fleet    *fleet.Fleet
+	Current  *fleet.Process
+	FirstYes time.Duration // of the first process, from its start
 }
 
 // Deploy starts a world's scheduler and waits for its yes. Close ends it.
@@ -60,7 +61,7 @@
 	if err := d.Current.Start(); err != nil {
 		return nil, err
 	}
-	_, err = AwaitYes(ctx, d.Current)
+	d.FirstYes, err = AwaitYes(ctx, d.Current)
 	return d, err
 }
 
--- a/internal/lab/service/fault.go
+++ b/internal/lab/service/fault.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"math/rand/v2"
 	"syscall"
 	"time"
 
@@ -24,9 +23,8 @@
 // Faults are all that a trial knows.
 var Faults = []Fault{NoFault, KillNew, StopNew, KillOld}
 
-// The moments and times of faults are drawn up to these.
+// The times of faults are drawn up to these.
 const (
-	earliestKill = 30 * time.Millisecond  // of a new process, after its start
 	longestStop  = 400 * time.Millisecond // of a new process, until it is killed
 	latestKill   = 300 * time.Millisecond // of an old process, after a step of the upgrade
 )
@@ -47,14 +45,15 @@
 	}
 }
 
-// SpoilNew starts a next process, stops it at a drawn moment and kills it, at once or after a
-// drawn time. A process that listens by then was too fast for it: it goes on, and is returned.
-func (d *Deployment) SpoilNew(ctx context.Context, fault Fault, rng *rand.Rand) (tooFast *fleet.Process, err error) {
+// SpoilNew starts a next process, stops it at a moment after its start and kills it, after a time
+// in which it stands still. A process that listens by then was too fast: it goes on, and is
+// returned.
+func (d *Deployment) SpoilNew(ctx context.Context, moment, still time.Duration) (tooFast *fleet.Process, err error) {
 	next, err := d.StartNext()
 	if err != nil {
 		return nil, err
 	}
-	if err := pause(ctx, time.Duration(rng.Float64()*float64(earliestKill))); err != nil {
+	if err := pause(ctx, moment); err != nil {
 		return nil, err
 	}
 	if err := next.Signal(syscall.SIGSTOP); err != nil {
@@ -67,10 +66,8 @@
 	if listens {
 		return next, next.Signal(syscall.SIGCONT)
 	}
-	if fault == StopNew {
-		if err := pause(ctx, time.Duration(rng.Float64()*float64(longestStop))); err != nil {
-			return nil, err
-		}
+	if err := pause(ctx, still); err != nil {
+		return nil, err
 	}
 	next.Kill()
 	return nil, nil
@@ -93,8 +90,8 @@
 
 // UpgradeKillingOld upgrades while the old process is killed at a drawn time after a step.
 func (d *Deployment) UpgradeKillingOld(ctx context.Context, step Step, after time.Duration) (h Handover, o Outage, err error) {
-	h.Began = time.Now()
 	old := d.Current
+	h.Began, h.Old = time.Now(), old
 	next, err := d.StartNext()
 	if err != nil {
 		return h, o, err
--- a/internal/lab/service/handover.go
+++ b/internal/lab/service/handover.go
@@ -57,15 +57,19 @@
 type Handover struct {
 	Began  time.Time
 	Yes    time.Duration // from the new process's start to its yes
-	Told   time.Time     // when the old one had SIGTERM
-	Took   time.Duration // until the old one's end
+	Told   time.Time     // when the old one had SIGTERM; zero: never, it was killed
+	Took   time.Duration // from SIGTERM to the old one's end
 	Forced bool          // it was killed at the limit
+	Old    *fleet.Process
 }
 
 // Line tells the upgrade's steps, with times since a moment.
 func (h Handover) Line(since time.Time) string {
-	text := fmt.Sprintf("new process started at %.3f s, yes after %.3f s, old one told at %.3f s, ended after %.3f s",
-		h.Began.Sub(since).Seconds(), h.Yes.Seconds(), h.Told.Sub(since).Seconds(), h.Took.Seconds())
+	text := fmt.Sprintf("new process started at %.3f s, yes after %.3f s", h.Began.Sub(since).Seconds(), h.Yes.Seconds())
+	if h.Told.IsZero() {
+		return text + ", old one killed"
+	}
+	text += fmt.Sprintf(", old one told at %.3f s, ended after %.3f s", h.Told.Sub(since).Seconds(), h.Took.Seconds())
 	if h.Forced {
 		text += " by SIGKILL at the limit"
 	}
@@ -74,7 +78,7 @@
 
 // Upgrade replaces the current process as the platform does, and waits for the old one's end.
 func (d *Deployment) Upgrade(ctx context.Context) (h Handover, err error) {
-	h.Began = time.Now()
+	h.Began, h.Old = time.Now(), d.Current
 	next, err := d.StartNext()
 	if err != nil {
 		return h, err
--- a/internal/lab/service/load.go
+++ b/internal/lab/service/load.go
@@ -1,6 +1,7 @@
 package service
 
 import (
+	"context"
 	"fmt"
 	"math/rand/v2"
 	"sync"
@@ -25,8 +26,8 @@
 	Most  int     // jobs open at a time; arrivals beyond are left out
 }
 
-// DefaultLoad is a tenth of what DefaultWorld can do.
-var DefaultLoad = LoadOptions{Name: "load", Rate: 60, Seed: 1, Fresh: 0.25, Keep: 24, Most: 128}
+// DefaultLoad is a quarter of what DefaultWorld can do.
+var DefaultLoad = LoadOptions{Name: "load", Rate: 140, Seed: 1, Fresh: 0.4, Keep: 24, Most: 128}
 
 // A Load is submitters at one address, on kept and on fresh connections.
 type Load struct {
@@ -77,6 +78,19 @@
 	return l.tally.Total()
 }
 
+// await waits until so many more jobs have ended.
+func (l *Load) await(ctx context.Context, more int) error {
+	before, _ := l.Answered()
+	for {
+		if now, _ := l.Answered(); now >= before+more {
+			return nil
+		}
+		if err := pause(ctx, pollEvery); err != nil {
+			return err
+		}
+	}
+}
+
 // run draws the arrivals until Stop.
 func (l *Load) run() {
 	rng := rand.New(rand.NewPCG(l.Seed, 17))
--- a/internal/lab/service/upgrade_test.go
+++ b/internal/lab/service/upgrade_test.go
@@ -24,7 +24,7 @@
 // Under load, one upgrade after another costs no job.
 func TestUpgradesInARow(t *testing.T) {
 	u := DefaultUpgrades
-	u.Upgrades = size(3, 6)
+	u.Upgrades = size(3, 20)
 	plays(t, u)
 }
 
--- a/internal/lab/service/upgrades.go
+++ b/internal/lab/service/upgrades.go
@@ -6,12 +6,15 @@
 	"io"
 	"math/rand/v2"
 	"slices"
+	"strings"
 	"syscall"
 	"time"
 )
 
-// mostTurnedBack is how many jobs may be turned back unheard in one upgrade.
-const mostTurnedBack = 2
+const (
+	mostTurnedBack = 2  // jobs, unheard in one upgrade
+	jobsBetween    = 10 // that end before each upgrade
+)
 
 // Upgrades is a trial: one upgrade after another, as the platform does them, under load.
 type Upgrades struct {
@@ -56,20 +59,24 @@
 func (r UpgradesResult) TurnedBack() (all, most int) {
 	counts := make([]int, len(r.Handovers)+1)
 	for _, record := range r.Tally.TurnedBack {
-		s := record.Sends[0]
-		if r.excused(s) {
-			continue
-		}
-		all++
-		later := slices.IndexFunc(r.Handovers, func(h Handover) bool { return h.Began.After(s.Ended) })
-		if later < 0 {
-			later = len(r.Handovers)
+		if !r.excused(record.Sends[0]) {
+			all++
+			counts[r.upgradeOf(record)]++
 		}
-		counts[later]++
 	}
 	return all, slices.Max(counts)
 }
 
+// upgradeOf is the number of the upgrade that began last before a job's first send ended; 0:
+// there was none yet.
+func (r UpgradesResult) upgradeOf(record Record) int {
+	ended := record.Sends[0].Ended
+	if later := slices.IndexFunc(r.Handovers, func(h Handover) bool { return h.Began.After(ended) }); later >= 0 {
+		return later
+	}
+	return len(r.Handovers)
+}
+
 // Slowest is the longest time until a yes.
 func (r UpgradesResult) Slowest() (slowest time.Duration) {
 	for _, h := range r.Handovers {
@@ -105,7 +112,7 @@
 	r.Began, r.Asked, r.Tally = time.Now(), u.Upgrades, newTally()
 	u.Load.Seed = u.Seed
 	load := StartLoad(d.Addr(), d.Fleet.World, u.Load)
-	err = u.upgrade(ctx, w, d, &r)
+	err = u.upgrade(ctx, w, d, load, &r)
 	r.Tally, r.Twice = load.Stop(), d.Fleet.Twice()
 	r.report(w)
 	if err != nil {
@@ -124,9 +131,12 @@
 }
 
 // upgrade does all upgrades of the trial, each with its fault.
-func (u Upgrades) upgrade(ctx context.Context, w io.Writer, d *Deployment, r *UpgradesResult) error {
+func (u Upgrades) upgrade(ctx context.Context, w io.Writer, d *Deployment, load *Load, r *UpgradesResult) error {
 	rng := rand.New(rand.NewPCG(u.Seed, 23))
 	for number := range u.Upgrades {
+		if err := load.await(ctx, jobsBetween); err != nil {
+			return err
+		}
 		h, err := u.one(ctx, d, r, rng)
 		if err != nil {
 			return fmt.Errorf("upgrade %d of %d: %w", number+1, u.Upgrades, err)
@@ -138,28 +148,13 @@
 }
 
 // one does one upgrade with the trial's fault.
-func (u Upgrades) one(ctx context.Context, d *Deployment, r *UpgradesResult, rng *rand.Rand) (h Handover, err error) {
+func (u Upgrades) one(ctx context.Context, d *Deployment, r *UpgradesResult, rng *rand.Rand) (Handover, error) {
 	switch u.Fault {
 	case KillNew, StopNew:
-		began := time.Now()
-		next, err := d.SpoilNew(ctx, u.Fault, rng)
-		if err != nil {
-			return h, err
-		}
-		if next == nil {
-			r.Placed++
-			return d.Upgrade(ctx)
-		}
-		h.Began = began
-		if _, err := AwaitYes(ctx, next); err != nil {
-			return h, err
-		}
-		h.Yes = time.Since(began)
-		err = d.finish(ctx, &h, next)
-		return h, err
+		return u.spoilt(ctx, d, r, rng)
 	case KillOld:
-		step, after := Step(len(r.Handovers)%int(steps)), time.Duration(rng.Float64()*float64(latestKill))
-		h, o, err := d.UpgradeKillingOld(ctx, step, after)
+		step := Step(len(r.Handovers) % int(steps))
+		h, o, err := d.UpgradeKillingOld(ctx, step, drawn(rng, latestKill))
 		r.Outages = append(r.Outages, o)
 		r.Placed++
 		return h, err
@@ -167,10 +162,44 @@
 	return d.Upgrade(ctx)
 }
 
+// spoilt does one upgrade after a new process that fails before its yes. The moments of all
+// upgrades are spread over the time that the first process took to its yes.
+func (u Upgrades) spoilt(ctx context.Context, d *Deployment, r *UpgradesResult, rng *rand.Rand) (h Handover, err error) {
+	h.Began, h.Old = time.Now(), d.Current
+	each := d.FirstYes / time.Duration(u.Upgrades)
+	moment, still := time.Duration(len(r.Handovers))*each+drawn(rng, each), time.Duration(0)
+	if u.Fault == StopNew {
+		still = drawn(rng, longestStop)
+	}
+	next, err := d.SpoilNew(ctx, moment, still)
+	if err != nil {
+		return h, err
+	}
+	if next == nil {
+		r.Placed++
+		return d.Upgrade(ctx)
+	}
+	if _, err := AwaitYes(ctx, next); err != nil {
+		return h, err
+	}
+	h.Yes = time.Since(h.Began)
+	err = d.finish(ctx, &h, next)
+	return h, err
+}
+
+// drawn is a time up to a limit.
+func drawn(rng *rand.Rand, limit time.Duration) time.Duration {
+	return time.Duration(rng.Float64() * float64(limit))
+}
+
 // report tells what went wrong, job by job, and sums up.
 func (r UpgradesResult) report(w io.Writer) {
 	for _, record := range r.Lost() {
 		fmt.Fprintln(w, "lost:", record.Text(r.Began))
+		if number := r.upgradeOf(record); number > 0 {
+			h := r.Handovers[number-1]
+			fmt.Fprintf(w, "  in upgrade %d, whose old process was %s; its log ends with\n    %s\n", number, h.Old.Name, strings.Join(h.Old.Log(), "\n    "))
+		}
 	}
 	for _, record := range r.Tally.Wrong {
 		fmt.Fprintln(w, "wrong result:", record.Text(r.Began))
