--- a/internal/lab/service/fault.go
+++ b/internal/lab/service/fault.go
@@ -7,6 +7,8 @@
 	"syscall"
 	"time"
 
+	"golang.org/x/sys/unix"
+
 	"github.com/vatu-meals/foxlift/internal/lab/fleet"
 )
 
@@ -25,8 +27,8 @@
 
 // The times of faults are drawn up to these.
 const (
-	longestStop  = 400 * time.Millisecond // of a new process, until it is killed
-	latestKill   = 300 * time.Millisecond // of an old process, after a step of the upgrade
+	longestStop = 400 * time.Millisecond // of a new process, until it is killed
+	latestKill  = 300 * time.Millisecond // of an old process, after a step of the upgrade
 )
 
 // An Outage is a time in which a process was killed and jobs may be lost with it.
@@ -56,8 +58,8 @@
 	if err := pause(ctx, moment); err != nil {
 		return nil, err
 	}
-	if err := next.Signal(syscall.SIGSTOP); err != nil {
-		return nil, &EndedError{next.Name, next.Log()}
+	if err := standStill(next); err != nil {
+		return nil, err
 	}
 	listens, err := Listens(next.ID(), d.Addr())
 	if err != nil {
@@ -73,6 +75,22 @@
 	return nil, nil
 }
 
+// standStill stops a process, and waits until all of it has: a signal may come later than its
+// sending returns.
+func standStill(process *fleet.Process) error {
+	id := process.ID()
+	if err := process.Signal(syscall.SIGSTOP); err != nil {
+		return &EndedError{process.Name, process.Log()}
+	}
+	var info unix.Siginfo
+	for {
+		err := unix.Waitid(unix.P_PID, id, &info, unix.WSTOPPED|unix.WEXITED|unix.WNOWAIT, nil)
+		if !errors.Is(err, unix.EINTR) {
+			return err
+		}
+	}
+}
+
 // A Step is a step of an upgrade, after which the old process is killed.
 type Step int
 
