--- a/internal/lab/service/connection_test.go
+++ b/internal/lab/service/connection_test.go
@@ -57,10 +57,12 @@
 		"nothing":                      {treat: readRequest, fate: Silent},
 	} {
 		t.Run(name, func(t *testing.T) {
-			addr, treated := serveOnce(t, c.treat)
+			connected := make(chan struct{})
+			addr, treated := serveOnce(t, func(conn net.Conn) { <-connected; c.treat(conn) })
 			conn, err := dial(addr, time.Now().Add(patience))
 			must(t, err)
 			defer conn.Close()
+			close(connected)
 			if c.first {
 				<-treated
 			}
