--- a/internal/lab/service/upgrades.go
+++ b/internal/lab/service/upgrades.go
@@ -163,10 +163,10 @@
 }
 
 // spoilt does one upgrade after a new process that fails before its yes. The moments of all
-// upgrades are spread over the time that the first process took to its yes.
+// upgrades are spread over the time that a process takes to its yes, as seen so far.
 func (u Upgrades) spoilt(ctx context.Context, d *Deployment, r *UpgradesResult, rng *rand.Rand) (h Handover, err error) {
 	h.Began, h.Old = time.Now(), d.Current
-	each := d.FirstYes / time.Duration(u.Upgrades)
+	each := max(d.FirstYes, r.Slowest()) / time.Duration(u.Upgrades)
 	moment, still := time.Duration(len(r.Handovers))*each+drawn(rng, each), time.Duration(0)
 	if u.Fault == StopNew {
 		still = drawn(rng, longestStop)
