--- /dev/null
+++ b/internal/lab/service/upgrades.go
@@ -0,0 +1,216 @@
+package service
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"syscall"
+	"time"
+)
+
+const (
+	mostTurnedBack = 2  // jobs, unheard in one upgrade
+	jobsBetween    = 10 // that end before each upgrade
+)
+
+// Upgrades is a trial: one upgrade after another, as the platform does them, under load.
+type Upgrades struct {
+	Program  string
+	Upgrades int
+	Seed     uint64 // of the load and the faults
+	Fault    Fault  // in each upgrade
+	Load     LoadOptions
+}
+
+// DefaultUpgrades is the trial that the operators' page speaks of.
+var DefaultUpgrades = Upgrades{Program: "bin/foxlift", Upgrades: 20, Seed: 1, Fault: NoFault, Load: DefaultLoad}
+
+// An UpgradesResult is what a trial saw.
+type UpgradesResult struct {
+	Began     time.Time
+	Handovers []Handover
+	Asked     int      // upgrades
+	Placed    int      // faults
+	Outages   []Outage // by kills of a process that served
+	Tally     Tally
+	Twice     []string // at-most-once jobs that ran more than once
+}
+
+// excused reports whether a send may have failed because its process was killed.
+func (r UpgradesResult) excused(s Send) bool {
+	return slices.ContainsFunc(r.Outages, func(o Outage) bool { return o.covers(s) })
+}
+
+// Lost are the jobs without an answer, but for those that died with a killed process.
+func (r UpgradesResult) Lost() (lost []Record) {
+	for _, record := range r.Tally.Lost {
+		if !r.excused(record.last()) {
+			lost = append(lost, record)
+		}
+	}
+	return lost
+}
+
+// TurnedBack counts the jobs turned back unheard, and the most in one upgrade: each belongs to
+// the upgrade that began last before it was sent. What a killed process turned back counts not.
+func (r UpgradesResult) TurnedBack() (all, most int) {
+	counts := make([]int, len(r.Handovers)+1)
+	for _, record := range r.Tally.TurnedBack {
+		if !r.excused(record.Sends[0]) {
+			all++
+			counts[r.upgradeOf(record)]++
+		}
+	}
+	return all, slices.Max(counts)
+}
+
+// upgradeOf is the number of the upgrade that began last before a job's first send ended; 0:
+// there was none yet.
+func (r UpgradesResult) upgradeOf(record Record) int {
+	ended := record.Sends[0].Ended
+	if later := slices.IndexFunc(r.Handovers, func(h Handover) bool { return h.Began.After(ended) }); later >= 0 {
+		return later
+	}
+	return len(r.Handovers)
+}
+
+// Slowest is the longest time until a yes.
+func (r UpgradesResult) Slowest() (slowest time.Duration) {
+	for _, h := range r.Handovers {
+		slowest = max(slowest, h.Yes)
+	}
+	return slowest
+}
+
+// Line is the result in one line.
+func (r UpgradesResult) Line() string {
+	all, most := r.TurnedBack()
+	return fmt.Sprintf("upgrades %d, jobs %d, lost %d, ran twice %d, turned back unheard %d (most in one upgrade %d), slowest yes %.2f s",
+		len(r.Handovers), r.Tally.Asked, len(r.Lost()), len(r.Twice), all, most, r.Slowest().Seconds())
+}
+
+// OK reports whether what must never happen did not, and there was something to see.
+func (r UpgradesResult) OK() bool {
+	_, most := r.TurnedBack()
+	return len(r.Lost()) == 0 && len(r.Twice) == 0 && len(r.Tally.Wrong) == 0 && most <= mostTurnedBack &&
+		r.Slowest() <= YesLimit && len(r.Handovers) == r.Asked && r.Tally.Total().OK > 0
+}
+
+// Run plays the trial. Where an upgrade fails, the result has what was seen until then.
+func (u Upgrades) Run(ctx context.Context, w io.Writer) (r UpgradesResult, err error) {
+	if !slices.Contains(Faults, u.Fault) {
+		return r, errUnknownFault
+	}
+	d, err := Deploy(ctx, u.Program, DefaultWorld())
+	if err != nil {
+		return r, err
+	}
+	defer d.Close()
+	r.Began, r.Asked, r.Tally = time.Now(), u.Upgrades, newTally()
+	u.Load.Seed = u.Seed
+	load := StartLoad(d.Addr(), d.Fleet.World, u.Load)
+	err = u.upgrade(ctx, w, d, load, &r)
+	r.Tally, r.Twice = load.Stop(), d.Fleet.Twice()
+	r.report(w)
+	if err != nil {
+		return r, err
+	}
+	return r, d.End(ctx)
+}
+
+// End ends the current process, as the last one of its deployment.
+func (d *Deployment) End(ctx context.Context) error {
+	leaving := &Leaving{Process: d.Current, limit: d.KillAfter(), told: time.Now()}
+	if err := d.Current.Signal(syscall.SIGTERM); err != nil {
+		return &EndedError{d.Current.Name, d.Current.Log()}
+	}
+	return leaving.Await(ctx)
+}
+
+// upgrade does all upgrades of the trial, each with its fault.
+func (u Upgrades) upgrade(ctx context.Context, w io.Writer, d *Deployment, load *Load, r *UpgradesResult) error {
+	rng := rand.New(rand.NewPCG(u.Seed, 23))
+	for number := range u.Upgrades {
+		if err := load.await(ctx, jobsBetween); err != nil {
+			return err
+		}
+		h, err := u.one(ctx, d, r, rng)
+		if err != nil {
+			return fmt.Errorf("upgrade %d of %d: %w", number+1, u.Upgrades, err)
+		}
+		r.Handovers = append(r.Handovers, h)
+		fmt.Fprintf(w, "upgrade %d: %s\n", number+1, h.Line(r.Began))
+	}
+	return nil
+}
+
+// one does one upgrade with the trial's fault.
+func (u Upgrades) one(ctx context.Context, d *Deployment, r *UpgradesResult, rng *rand.Rand) (Handover, error) {
+	switch u.Fault {
+	case KillNew, StopNew:
+		return u.spoilt(ctx, d, r, rng)
+	case KillOld:
+		step := Step(len(r.Handovers) % int(steps))
+		h, o, err := d.UpgradeKillingOld(ctx, step, drawn(rng, latestKill))
+		r.Outages = append(r.Outages, o)
+		r.Placed++
+		return h, err
+	}
+	return d.Upgrade(ctx)
+}
+
+// spoilt does one upgrade after a new process that fails before its yes. The moments of all
+// upgrades are spread over the time that a process takes to its yes, as seen so far.
+func (u Upgrades) spoilt(ctx context.Context, d *Deployment, r *UpgradesResult, rng *rand.Rand) (h Handover, err error) {
+	h.Began, h.Old = time.Now(), d.Current
+	each := max(d.FirstYes, r.Slowest()) / time.Duration(u.Upgrades)
+	moment, still := time.Duration(len(r.Handovers))*each+drawn(rng, each), time.Duration(0)
+	if u.Fault == StopNew {
+		still = drawn(rng, longestStop)
+	}
+	next, err := d.SpoilNew(ctx, moment, still)
+	if err != nil {
+		return h, err
+	}
+	if next == nil {
+		r.Placed++
+		return d.Upgrade(ctx)
+	}
+	if _, err := AwaitYes(ctx, next); err != nil {
+		return h, err
+	}
+	h.Yes = time.Since(h.Began)
+	err = d.finish(ctx, &h, next)
+	return h, err
+}
+
+// drawn is a time up to a limit.
+func drawn(rng *rand.Rand, limit time.Duration) time.Duration {
+	return time.Duration(rng.Float64() * float64(limit))
+}
+
+// report tells what went wrong, job by job, and sums up.
+func (r UpgradesResult) report(w io.Writer) {
+	for _, record := range r.Lost() {
+		fmt.Fprintln(w, "lost:", record.Text(r.Began))
+		if number := r.upgradeOf(record); number > 0 {
+			h := r.Handovers[number-1]
+			fmt.Fprintf(w, "  in upgrade %d, whose old process was %s; its log ends with\n    %s\n", number, h.Old.Name, strings.Join(h.Old.Log(), "\n    "))
+		}
+	}
+	for _, record := range r.Tally.Wrong {
+		fmt.Fprintln(w, "wrong result:", record.Text(r.Began))
+	}
+	for _, record := range r.Tally.TurnedBack {
+		if !r.excused(record.Sends[0]) {
+			fmt.Fprintln(w, "turned back:", record.Text(r.Began))
+		}
+	}
+	for _, id := range r.Twice {
+		fmt.Fprintln(w, "ran twice:", id)
+	}
+	fmt.Fprintf(w, "%s; faults placed %d; %d of the lost died with a killed process, which is no fault of the upgrade\n", r.Tally.Line(), r.Placed, len(r.Tally.Lost)-len(r.Lost()))
+}
--- a/internal/standin/node.go
+++ b/internal/standin/node.go
@@ -112,6 +112,7 @@
 	Slower   float64 // its jobs take this many times as long; 0 counts as 1
 	Hang     bool    // it takes jobs and answers none
 	Fail     bool    // it answers "failed" at once
+	FailOne  int64   // it does so for one of so many jobs; 0: for none
 	CutAfter int     // it resets the connection after this many bytes of its answer; 0: never
 }
 
@@ -138,6 +139,7 @@
 	slots     chan struct{}
 	room      chan struct{}
 	behaviour atomic.Pointer[Behaviour]
+	requests  atomic.Int64 // with a job
 	mu        sync.Mutex
 	runs      map[string]int
 	tenants   map[string]int
@@ -220,6 +222,10 @@
 	n.server.Reset()
 }
 
+// Requests returns how many whole requests with a job have been read here, also those that
+// were turned away. Probes are none.
+func (n *Node) Requests() int64 { return n.requests.Load() }
+
 // Runs returns how often each job was begun here.
 func (n *Node) Runs() map[string]int {
 	n.mu.Lock()
@@ -244,6 +250,11 @@
 
 func (n *Node) handle(c net.Conn, r *http.Request, id string) bool {
 	b := *n.behaviour.Load()
+	if id != "" {
+		if number := n.requests.Add(1); b.FailOne > 0 && number%b.FailOne == 0 {
+			b.Fail = true
+		}
+	}
 	class, _, _ := strings.Cut(strings.TrimPrefix(r.URL.Path, "/"), "/")
 	work := n.Work(class)
 	if !n.bears(work) || b.Hang {
