What discovery has written counts while the core is busy and across a reload

Seen on reading the watch against "counts as told when it is written": follow sent a call, gave the news before it to the core, which may wait for room in the core's inbox, and only then noted the connection (machines.go, follow, await). An answer that came meanwhile was nowhere that find looks, and claims went on the old list. And switchTo ended the old discovery's call with its answer unread, so a drain in it was lost until the new list came. Ruled out: the read itself (watchedConn notes it before the bytes are taken) and the old one's later words (takeFrom looks at its context).

Now the connection is noted before the call is sent (caller.open and send are apart for that), and a switch lets an answer that has arrived be read, for 1 s at most; the list after it is asked for whole and urgent all the same.

--- a/internal/platform/caller.go
+++ b/internal/platform/caller.go
@@ -55,17 +55,24 @@
 	}
 }
 
-func (c *caller) send(target string, limit time.Duration) error {
-	if c.conn == nil {
-		d := net.Dialer{Timeout: c.dialLimit}
-		conn, err := d.DialContext(c.ctx, "tcp", c.addr)
-		if err != nil {
-			return err
-		}
-		conn = &watchedConn{conn.(*net.TCPConn), c.reading}
-		c.conn, c.buf = conn, buffer{conn: conn}
-		c.stop = context.AfterFunc(c.ctx, func() { conn.Close() })
+// open dials, unless the connection of an earlier call is there.
+func (c *caller) open() error {
+	if c.conn != nil {
+		return nil
+	}
+	d := net.Dialer{Timeout: c.dialLimit}
+	conn, err := d.DialContext(c.ctx, "tcp", c.addr)
+	if err != nil {
+		return err
 	}
+	conn = &watchedConn{conn.(*net.TCPConn), c.reading}
+	c.conn, c.buf = conn, buffer{conn: conn}
+	c.stop = context.AfterFunc(c.ctx, func() { conn.Close() })
+	return nil
+}
+
+// send writes a call; open has succeeded before.
+func (c *caller) send(target string, limit time.Duration) error {
 	c.conn.SetDeadline(time.Now().Add(limit))
 	_, err := fmt.Fprintf(c.conn, "GET %s HTTP/1.1\r\nHost: %s\r\n\r\n", target, c.addr)
 	return err
--- a/internal/platform/machines.go
+++ b/internal/platform/machines.go
@@ -28,6 +28,7 @@
 	catchUp     = time.Second             // most that a claim waits for an answer to be read; then it is not sent
 	switchTime  = 3500 * time.Millisecond // after a switch to another discovery, calls that fail are made again
 	switchLimit = 2 * time.Second         // for the whole list then
+	lastWords   = time.Second             // most that a switch waits for what the old discovery has written to be read
 )
 
 // machines is the machine list and the watch on it. Claims ask it just before
@@ -38,6 +39,8 @@
 	log      *zap.Logger
 	asker    *coldstart.Asker // the watch's alone
 
+	lastWords time.Duration
+
 	mu       sync.Mutex
 	addr     string
 	cancel   context.CancelFunc // ends the calls to addr, and the pauses between them
@@ -67,7 +70,7 @@
 	rng := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	m := &machines{
 		addr: addr, settings: s, tell: tell, log: log, entries: map[string]machine{}, whole: true,
-		asker: coldstart.NewAsker(s.Module.Dispatchers, longest, rng),
+		asker: coldstart.NewAsker(s.Module.Dispatchers, longest, rng), lastWords: lastWords,
 	}
 	if s.Pushed() {
 		m.asker = coldstart.NewAgentAsker(rng)
@@ -182,6 +185,12 @@
 	if err := ctx.Err(); err != nil {
 		return nil, err
 	}
+	if m.moved { // the last words of the discovery before: the list that is asked for next is another's
+		m.cancel()
+		news := m.takeLocked(l)
+		m.whole = true
+		return news, nil
+	}
 	m.urgent = time.Time{}
 	return m.takeLocked(l), nil
 }
@@ -224,12 +233,17 @@
 
 // switchTo goes over to another discovery at once: the call to the old one is
 // ended, and the new one's list is taken whole as soon as it is to be had. Until
-// then the last list holds.
+// then the last list holds. What the old one has written by now counts as told: it
+// is read before the call ends.
 func (m *machines) switchTo(addr string) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.addr, m.moved, m.whole, m.urgent = addr, true, true, time.Now().Add(switchTime)
-	if m.cancel != nil {
+	switch {
+	case m.cancel == nil:
+	case m.unreadLocked():
+		time.AfterFunc(m.lastWords, m.cancel)
+	default:
 		m.cancel()
 	}
 	m.watchLocked()
@@ -309,7 +323,7 @@
 			target = fmt.Sprintf("%s?%s=%d&%s=%d", pathMembers, queryIndex, m.version, queryWait, wait.Milliseconds())
 			limit = m.asker.Limit(wait)
 		}
-		err := c.send(target, limit)
+		err := m.call(c, target, limit)
 		// The core hears of an answer once the next call is out: nothing that
 		// happens here may delay that call.
 		if told {
@@ -318,7 +332,6 @@
 		if err != nil {
 			return began, err
 		}
-		m.await(c.conn)
 		body, err := c.receive()
 		if err != nil {
 			return began, err
@@ -361,11 +374,16 @@
 	return m.asker.Limit(0)
 }
 
-// await notes the connection on which an answer is awaited; nil for none.
-func (m *machines) await(conn net.Conn) {
+// call sends a call to discovery. The connection is noted before that: the answer may be there
+// as soon as the call is out, and counts from then on, however long the core is busy.
+func (m *machines) call(c *caller, target string, limit time.Duration) error {
+	if err := c.open(); err != nil {
+		return err
+	}
 	m.mu.Lock()
-	defer m.mu.Unlock()
-	m.conn = conn
+	m.conn = c.conn
+	m.mu.Unlock()
+	return c.send(target, limit)
 }
 
 // noteReading notes, before anything is read of what has arrived, that it is; and that all of it
@@ -373,5 +391,7 @@
 func (m *machines) noteReading(is bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.reading = is
+	if m.reading = is; m.moved && !is {
+		m.cancel()
+	}
 }
--- a/internal/platform/moments_test.go
+++ b/internal/platform/moments_test.go
@@ -74,6 +74,61 @@
 	}
 }
 
+// busyCore follows a discovery with a core that is busy: it takes no news until free is closed, and
+// by then the discovery has answered the next call with a drain, which nobody has read.
+func busyCore(t *testing.T) (m *machines, calls chan call, free chan bool) {
+	addr, calls := newDiscovery(t)
+	settings, err := config.ParseSettings([]byte(toySettings))
+	if err != nil {
+		t.Fatal(err)
+	}
+	node := newNode(t, done)
+	free = make(chan bool)
+	m = newMachines(addr, settings, func(foxlift.ListKind, []foxlift.Worker) { <-free }, zap.NewNop())
+	m.lastWords = patience
+	t.Cleanup(m.stop)
+	m.Watch()
+	next(t, calls).answer(hosts(7, true, node))
+	next(t, calls).answer(`{"seq":8,"whole":false,"hosts":[` + host(0, node, healthLeaving) + `]}`)
+	await(t, "it has arrived where claims look", func() bool {
+		m.mu.Lock()
+		defer m.mu.Unlock()
+		return m.unreadLocked()
+	})
+	return m, calls, free
+}
+
+// An answer that comes while the core is busy with the one before counts at once.
+func TestAnswerWhileTheCoreIsBusy(t *testing.T) {
+	t.Parallel()
+	m, _, free := busyCore(t)
+	if _, ok := m.find("n0"); ok {
+		t.Error("sent on the old list, with an answer unread")
+	}
+	close(free)
+	await(t, "the drain is in the list", func() bool {
+		m.mu.Lock()
+		defer m.mu.Unlock()
+		return m.entries["n0"].state == foxlift.Draining
+	})
+}
+
+// What the old discovery has written when a reload moves it counts as told: it is read before its
+// call ends. The new one's list is asked for whole all the same.
+func TestDrainUnreadAtAReload(t *testing.T) {
+	t.Parallel()
+	m, _, free := busyCore(t)
+	later, calls := newDiscovery(t)
+	m.switchTo(later)
+	close(free)
+	c := next(t, calls)
+	check(t, "the new discovery's first call", c.target, pathMembers)
+	m.mu.Lock()
+	check(t, "the node", m.entries["n0"].state, foxlift.Draining)
+	check(t, "asked for at once until it has come", m.urgent.IsZero(), false)
+	m.mu.Unlock()
+}
+
 // A pushed list counts once the agent has it, outage or not: an agent that is away for long is
 // asked again and again within the least grace for drains, whatever the number of schedulers.
 func TestAgentsReturn(t *testing.T) {
