Lists of 19,000 entries are followed: decoded as they arrive, within a bound of their own

Seen: with 1,200 entries (154 KB) a scheduler knows no worker at all; it asks for the whole list again every 0.5 to 3 s without end. Cause: caller.receive read every answer into one buffer bounded by maxResponse (144 KiB), which is the bound of a job's answer; errTooLong counted as a connection that broke, whose pauses end at 3 s. Ruled out: discovery and the parser, which take the same list from the configuration's "known".

- listing.go: the bound is 19,000 entries of 512 bytes, or an eighth of the memory limit where that is less, and as many entries as half of the memory limit holds at 2 KiB each.
The answer is decoded entry by entry from the connection; a faulty one is refused whole as before, with what json.Unmarshal accepts (fuzzed against it).
- A list over the bound is a failure of its own kind: refused at its head where the length is told, counted in machines.failed, asked for after pauses that double from 1 to 64 s, the first two within the list's clock.
Changes over the bound are given up for the whole list.
- A claim that finds a list being read waits 1 s from the last read, 4 s in all; before it was 1 s in all.

--- a/internal/coldstart/asker.go
+++ b/internal/coldstart/asker.go
@@ -18,6 +18,7 @@
 	Silent                     // nothing within the time allowed
 	Unreachable                // no connection, or it ended without an answer
 	Faulty                     // an answer that is of no use
+	Oversized                  // an answer over the bound: the next one will be so, too
 )
 
 // The list's clock. From any moment at which discovery has a change and can be reached, a
@@ -64,7 +65,10 @@
 //     an answer, at 137 refused calls a second where it answers 20 to 31);
 //   - first calls come at most mostFirst a second;
 //   - calls that fell silent come back within silentMost: they were ended after waits that the
-//     schedulers draw at random, and a silent discovery has no queue.
+//     schedulers draw at random, and a silent discovery has no queue;
+//   - calls for a list over the bound come back after pauses that double up to oversizedMost: none
+//     of them makes anything known, so the list's clock does not hold for them, and each costs
+//     discovery the whole list. The first two pauses keep it, should a length have been spoilt.
 const (
 	mostFailing    = 100.0
 	mostFirst      = 300.0
@@ -74,7 +78,9 @@
 	growthMost     = time.Second            // to which the pauses of a few schedulers grow
 	movedMost      = 500 * time.Millisecond // the longest pause after another discovery was named
 	schedulersMost = 1_000_000
-	movedTries     = 16 // after so many failures it is a discovery like any other
+	oversizedFirst = time.Second      // the longest pause after the first answer over the bound,
+	oversizedMost  = 64 * time.Second // and after the last; the shortest is half of it
+	movedTries     = 16               // after so many failures it is a discovery like any other
 )
 
 // An Asker says how long to wait before each call. It is not safe for concurrent use.
@@ -85,6 +91,7 @@
 	waited     int // calls in a row that were turned away after a wait
 	failed     int // calls in a row that failed at once
 	shed       int // of the calls since the last answer, those that were refused at once
+	oversized  int // lists over the bound since the last answer
 	moved      int // calls left to another discovery that has been named and not yet answered
 	agent      bool
 }
@@ -144,7 +151,7 @@
 // Moved notes that another discovery is to be asked, at once: what the last one did tells
 // nothing of it.
 func (a *Asker) Moved() {
-	a.waited, a.failed, a.shed, a.moved = 0, 0, 0, movedTries
+	a.waited, a.failed, a.shed, a.oversized, a.moved = 0, 0, 0, 0, movedTries
 }
 
 // After notes what came of a call that took so long and returns the pause before the next.
@@ -153,8 +160,15 @@
 	window, least := fleet, leastPause
 	switch {
 	case o == Answered:
-		a.waited, a.failed, a.shed, a.moved = 0, 0, 0, 0
+		a.waited, a.failed, a.shed, a.oversized, a.moved = 0, 0, 0, 0, 0
 		return 0
+	case o == Oversized:
+		window = max(fleet, min(oversizedMost, oversizedFirst<<a.oversized))
+		if a.oversized < 2 {
+			window = max(2*leastPause, min(window, failTime-took))
+		}
+		a.oversized = min(a.oversized+1, 16)
+		return window/2 + time.Duration(a.rng.Int64N(int64(window/2)))
 	case a.agent:
 		return a.jitter(agentPause, leastPause)
 	case o == Silent:
--- a/internal/coldstart/asker_test.go
+++ b/internal/coldstart/asker_test.go
@@ -291,3 +291,28 @@
 		}
 	}
 }
+
+// A list over the bound is asked for again and again at ever longer times, by an agent's scheduler
+// too; the first two times within the list's clock, and after an answer as if there had been none.
+func TestOversizedPausesGrow(t *testing.T) {
+	rng := rand.New(rand.NewPCG(1, 1))
+	for _, n := range []int{1, 300, 1000} {
+		for _, a := range []*Asker{NewAsker(n, time.Second, rng), NewAgentAsker(rng)} {
+			for range 100 {
+				last := time.Duration(0)
+				for i := range 12 {
+					took := a.Limit(0)
+					pause := a.After(Oversized, took)
+					if i < 2 && took+pause+answerTime+stepTime > ToldWithin {
+						t.Fatalf("%d schedulers: known after %v and a pause of %v", n, took, pause)
+					}
+					if pause < last/2 || i >= 7 && pause < 32*time.Second || pause > oversizedMost {
+						t.Fatalf("%d schedulers: pause %d is %v after one of %v", n, i, pause, last)
+					}
+					last = pause
+				}
+				a.After(Answered, 0)
+			}
+		}
+	}
+}
--- a/internal/platform/caller.go
+++ b/internal/platform/caller.go
@@ -25,6 +25,8 @@
 	var status statusError
 	var wait net.Error
 	switch {
+	case errors.As(err, &oversizedError{}), errors.Is(err, errTooLong):
+		return coldstart.Oversized
 	case errors.As(err, &status) && status == http.StatusServiceUnavailable:
 		return coldstart.Busy
 	case errors.As(err, &wait) && wait.Timeout():
@@ -63,7 +65,7 @@
 			return err
 		}
 		conn = &watchedConn{conn.(*net.TCPConn), c.reading}
-		c.conn, c.buf = conn, buffer{conn: conn}
+		c.conn, c.buf = conn, buffer{conn: conn, data: make([]byte, keptSize)}
 		c.stop = context.AfterFunc(c.ctx, func() { conn.Close() })
 	}
 	c.conn.SetDeadline(time.Now().Add(limit))
@@ -71,24 +73,58 @@
 	return err
 }
 
-func (c *caller) receive() ([]byte, error) {
-	msg := c.buf.message(maxResponse)
+// receive reads an answer and decodes the list as it arrives, within a bound.
+func (c *caller) receive(bound listBound) (*listing, error) {
+	msg := c.buf.message(maxHead)
+	msg.drop = true // what is decoded need not stay
 	defer msg.end()
 	resp, err := msg.response()
 	if err != nil {
 		return nil, err
 	}
-	body, err := io.ReadAll(resp.Body)
-	if err != nil {
-		return nil, err
-	}
 	if resp.StatusCode != http.StatusOK {
+		if _, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxHead)); err != nil {
+			return nil, err
+		}
 		return nil, statusError(resp.StatusCode)
 	}
+	if resp.ContentLength > bound.bytes {
+		return nil, oversizedError{"bytes", bound.bytes}
+	}
+	msg.limit += 2 * int(bound.bytes) // the framing of chunks included
+	body := &bodyReader{body: resp.Body, most: bound.bytes}
+	l, err := decodeListing(body, bound.entries)
+	switch {
+	case body.err != nil:
+		return nil, body.err
+	case err != nil:
+		return nil, fmt.Errorf("%w: %w", errList, err)
+	}
 	if resp.Close {
 		c.close()
 	}
-	return body, nil
+	return l, nil
+}
+
+// A bodyReader reads a body of a bounded length. It keeps the error with which the reading ended
+// before the body's end: a decoder may word it as bad input.
+type bodyReader struct {
+	body io.Reader
+	most int64 // bytes that it may have
+	read int64
+	err  error
+}
+
+// Read implements io.Reader.
+func (r *bodyReader) Read(p []byte) (int, error) {
+	n, err := r.body.Read(p)
+	if r.read += int64(n); r.read > r.most {
+		err = oversizedError{"bytes", r.most}
+	}
+	if err != nil && err != io.EOF {
+		r.err = err
+	}
+	return n, err
 }
 
 // A watchedConn tells of what has arrived before it is read: whoever looks at the connection
--- a/internal/platform/fuzz_test.go
+++ b/internal/platform/fuzz_test.go
@@ -391,7 +391,10 @@
 	f.Fuzz(func(t *testing.T, data []byte) { checkListing(t, data) })
 }
 
-func TestFuzzListing(t *testing.T) { fuzz.Play(t, 3, 20000, listingSeeds(), checkListing) }
+func TestFuzzListing(t *testing.T) {
+	fuzz.Play(t, 3, 20000, listingSeeds(), checkListing)
+	fuzz.Play(t, 5, 20000, listingSeeds(), checkDecoder)
+}
 
 // checkValues holds the small parsers of header values to their ranges.
 func checkValues(t testing.TB, data []byte) {
--- a/internal/platform/machines.go
+++ b/internal/platform/machines.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
 	"fmt"
 	"math/rand/v2"
@@ -25,7 +24,8 @@
 // a call that is silent then is ended after switchLimit, in time for another one.
 const (
 	firstWait   = time.Millisecond        // how long discovery may hold the first watch: a silent one is known soon
-	catchUp     = time.Second             // most that a claim waits for an answer to be read; then it is not sent
+	catchUp     = time.Second             // most that a claim waits for an answer of which nothing more is read; then it is not sent,
+	catchUpMost = 4 * time.Second         // and for one that is being read: longer than a call for the whole list may take
 	switchTime  = 3500 * time.Millisecond // after a switch to another discovery, calls that fail are made again
 	switchLimit = 2 * time.Second         // for the whole list then
 )
@@ -48,8 +48,9 @@
 	answered bool // a call has been answered since the start
 	whole    bool // the next call takes the whole list: no version is known that its changes could go on from
 	watching bool
-	conn     net.Conn // the watch's, while an answer is awaited
-	reading  bool     // what arrived on conn is being read, and is not in the list yet
+	conn     net.Conn  // the watch's, while an answer is awaited
+	reading  bool      // what arrived on conn is being read, and is not in the list yet
+	readAt   time.Time // when some of it was last read
 	stopped  bool
 }
 
@@ -75,67 +76,6 @@
 	return m
 }
 
-// A listing is discovery's answer.
-type listing struct {
-	Version *int64 `json:"seq"`
-	Whole   bool   `json:"whole"`
-	Hosts   []struct {
-		Host   string `json:"host"`
-		Dial   string `json:"dial"`
-		Zone   string `json:"site"`
-		Kind   string `json:"class"`
-		Cell   int    `json:"block"`
-		Health string `json:"health"`
-		Born   int64  `json:"born_ms"`
-	} `json:"hosts"`
-}
-
-var healths = map[string]foxlift.WorkerState{
-	healthActive: foxlift.Live, healthLeaving: foxlift.Draining, healthLeft: foxlift.Gone,
-}
-
-// parseListing reads an answer; one that is faulty anywhere is refused whole.
-func parseListing(text []byte) (*listing, error) {
-	var l listing
-	if err := json.Unmarshal(text, &l); err != nil {
-		return nil, err
-	}
-	if l.Version == nil {
-		return nil, errors.New("seq is missing")
-	}
-	for i, h := range l.Hosts {
-		if h.Host == "" {
-			return nil, fmt.Errorf("hosts[%d].host is empty", i)
-		}
-		if _, ok := healths[h.Health]; !ok {
-			return nil, fmt.Errorf("hosts[%d].health is %q", i, h.Health)
-		}
-		if _, _, err := net.SplitHostPort(h.Dial); err != nil && h.Health != healthLeft {
-			return nil, fmt.Errorf("hosts[%d].dial is %q", i, h.Dial)
-		}
-	}
-	return &l, nil
-}
-
-// parseKnown reads the list as last known before the start; nil if there is none.
-func parseKnown(known []byte) (*listing, error) {
-	if len(known) == 0 || string(known) == "null" {
-		return nil, nil
-	}
-	l, err := parseListing(known)
-	if err != nil {
-		return nil, fmt.Errorf("known: %w", err)
-	}
-	l.Whole = true
-	return l, nil
-}
-
-// CheckKnown checks the list as last known before the start.
-func CheckKnown(known []byte) error {
-	_, err := parseKnown(known)
-	return err
-}
-
 // load takes the list as last known before the start.
 func (m *machines) load(known []byte) ([]foxlift.Worker, error) {
 	l, err := parseKnown(known)
@@ -188,13 +128,13 @@
 
 // find returns a node's entry, if new work may go there now. A change counts as
 // told once discovery has written it: where an answer has arrived that is not yet in the
-// list (the process stood still, or the core was busy), find waits for it, and with no
-// end to that nothing is sent. It must not be called on the core's goroutine.
+// list (the process stood still, the core was busy, or the list is long), find waits for it,
+// and with no end to that nothing is sent. It must not be called on the core's goroutine.
 func (m *machines) find(node string) (machine, bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	for end := time.Now().Add(catchUp); m.unreadLocked(); {
-		if !time.Now().Before(end) {
+	for began := time.Now(); m.unreadLocked(); {
+		if !time.Now().Before(m.waitEndLocked(began)) {
 			return machine{}, false
 		}
 		m.mu.Unlock()
@@ -205,6 +145,19 @@
 	return e, ok && e.state == foxlift.Live
 }
 
+// waitEndLocked returns until when a claim that has waited since began waits for an answer to be
+// in the list. While it is being read, the wait goes on: a long list takes its time.
+func (m *machines) waitEndLocked(began time.Time) time.Time {
+	end, most := began.Add(catchUp), began.Add(catchUpMost)
+	if reads := m.readAt.Add(catchUp); reads.After(end) {
+		end = reads
+	}
+	if end.After(most) {
+		end = most
+	}
+	return end
+}
+
 // unreadLocked reports whether something has arrived on the watch that is not in the list.
 func (m *machines) unreadLocked() bool { return m.reading || m.conn != nil && arrived(m.conn) }
 
@@ -319,16 +272,12 @@
 			return began, err
 		}
 		m.await(c.conn)
-		body, err := c.receive()
-		if err != nil {
-			return began, err
-		}
-		l, err := parseListing(body)
+		l, err := c.receive(processBound())
 		if err == nil && whole && !l.Whole {
-			err = errors.New("the answer is not the whole list")
+			err = fmt.Errorf("%w: the answer is not the whole list", errList)
 		}
 		if err != nil {
-			return began, fmt.Errorf("%w: %w", errList, err)
+			return began, m.noteOversized(err)
 		}
 		if !l.Whole && *l.Version < m.version {
 			whole, told = true, false // discovery has lost count
@@ -374,4 +323,18 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.reading = is
+	if is {
+		m.readAt = time.Now()
+	}
+}
+
+// noteOversized notes a failure that is due to an answer's size, and returns it. The changes since
+// the last version can be more than the whole list, which is asked for next.
+func (m *machines) noteOversized(err error) error {
+	if errors.As(err, &oversizedError{}) {
+		m.mu.Lock()
+		defer m.mu.Unlock()
+		m.whole = true
+	}
+	return err
 }
