No step but a whole list looks at all workers: pending, live, gone, lost and homes are kept

Cause: onTick and onList placed every worker anew; onWorker and restarted went over all of them for meanCap; standing, regulate and forgetGone did each second; roomAt copied every kind's workers for a job that any kind may run; nearest hashed every live worker. Ruled out: tenants (98 cost 3 us a tick).

Change, in fleet_index.go, which decides nothing: workers that time alone may move (young, or paused) or that were touched out of a list event are pending, and they alone are placed, in the list's order; live, gone and lost ones are kept as they change; the caps' sum is exact in fixed point; the live ones' hashes and the time until which they are young lie in 64 buckets. Past 1,024 warm workers a key's homes are searched in the half that it draws (hierarchical rendezvous hashing), and a job that may run anywhere again tries a sample: at up to 1,024 nothing is decided otherwise. The sum of warmth adds the warm ones first: it can differ in the last bit.

Tests: TestIndexAgreesWithALookAtAll against a plain recomputation, TestStepsLookAtFewWorkers counts what is looked at. Two tests wrote into the state past the module: TestCopiesAreFew now says that it did, the rendezvous test takes its worker away by a list event; both demand what they did.

--- /dev/null
+++ b/bench_scale_test.go
@@ -0,0 +1,186 @@
+package foxlift
+
+import (
+	"fmt"
+	"math"
+	"testing"
+)
+
+// Benchmarks of what a dispatcher does by the number of workers, from the smallest fleet to the one
+// it is designed for. Each ends with the slope of the logarithms of time and workers, by least
+// squares, and its residual: 0 is a cost that does not grow, 1 one that grows as the workers do.
+
+var scaleSizes = []int{60, 200, 600, 2000, 6000, 19000}
+
+const (
+	scaleTenants = 98
+	scaleZones   = 34
+	scaleKinds   = 4
+)
+
+// scaleWorkers are the warm workers of a fleet with several zones and kinds.
+func scaleWorkers(n int) (ws []Worker) {
+	for i := range n {
+		ws = append(ws, Worker{ID: fmt.Sprintf("worker-%05d", i), Zone: i % scaleZones, Kind: i % scaleKinds, Cell: i / 8})
+	}
+	return ws
+}
+
+// scaleRig is one of many dispatchers of such a fleet: classes 0 to 2 run on any kind, 3 on one.
+func scaleRig(tb testing.TB, workers int) *Dispatcher {
+	cfg := testConfig()
+	cfg.Dispatchers, cfg.Gauges, cfg.Tenants = 300, nil, nil
+	for i := range scaleTenants {
+		cfg.Tenants = append(cfg.Tenants, Tenant{fmt.Sprint("t", i), 1e6})
+	}
+	one := cfg.Classes[0]
+	one.Kind = scaleKinds - 1
+	cfg.Classes = append(cfg.Classes, one)
+	d, err := New(cfg, 1)
+	if err != nil {
+		tb.Fatal(err)
+	}
+	d.Step(second, []Event{{Kind: EventList, List: ListFull, Workers: scaleWorkers(workers)}})
+	d.Step(2*second, nil)
+	return d
+}
+
+// bySize runs a benchmark at each size and reports the slope. run returns what to repeat.
+func bySize(b *testing.B, run func(b *testing.B, workers int) func()) {
+	var sizes, times []float64
+	for _, n := range scaleSizes {
+		b.Run(fmt.Sprintf("workers=%d", n), func(b *testing.B) {
+			once := run(b, n)
+			b.ReportAllocs()
+			for b.Loop() {
+				once()
+			}
+			if len(sizes) == 0 || sizes[len(sizes)-1] != float64(n) { // the last of several counts
+				sizes, times = append(sizes, float64(n)), append(times, 0)
+			}
+			times[len(times)-1] = float64(b.Elapsed().Nanoseconds()) / float64(b.N)
+		})
+	}
+	b.Run("slope", func(b *testing.B) {
+		if len(sizes) < 2 {
+			b.Skip("of one size")
+		}
+		slope, residual := logSlope(sizes, times)
+		for b.Loop() {
+		}
+		b.ReportMetric(0, "ns/op")
+		b.ReportMetric(slope, "slope")
+		b.ReportMetric(residual, "residual")
+	})
+}
+
+// logSlope fits log y = a + slope * log x by least squares and returns the slope and the root mean
+// square of what is left, in natural logarithms.
+func logSlope(xs, ys []float64) (slope, residual float64) {
+	n := float64(len(xs))
+	var mx, my, sxx, sxy float64
+	for i := range xs {
+		mx += math.Log(xs[i]) / n
+		my += math.Log(ys[i]) / n
+	}
+	for i := range xs {
+		dx, dy := math.Log(xs[i])-mx, math.Log(ys[i])-my
+		sxx += dx * dx
+		sxy += dx * dy
+	}
+	slope = sxy / sxx
+	for i := range xs {
+		left := math.Log(ys[i]) - my - slope*(math.Log(xs[i])-mx)
+		residual += left * left / n
+	}
+	return slope, math.Sqrt(residual)
+}
+
+// BenchmarkScaleWhole is the first whole list of a dispatcher.
+func BenchmarkScaleWhole(b *testing.B) {
+	bySize(b, func(b *testing.B, n int) func() {
+		d := scaleRig(b, 0)
+		cfg, ws, now := d.cfg, scaleWorkers(n), 3*second
+		return func() {
+			b.StopTimer()
+			d, _ := New(cfg, 1)
+			b.StartTimer()
+			now += ms
+			d.Step(now, []Event{{Kind: EventList, List: ListFull, Workers: ws}})
+		}
+	})
+}
+
+// BenchmarkScaleAgain is a whole list that tells again what is known.
+func BenchmarkScaleAgain(b *testing.B) {
+	bySize(b, func(b *testing.B, n int) func() {
+		d, ws, now := scaleRig(b, n), scaleWorkers(n), 3*second
+		return func() {
+			now += ms
+			d.Step(now, []Event{{Kind: EventList, List: ListFull, Workers: ws}})
+		}
+	})
+}
+
+// BenchmarkScaleChange is one change of the list: a worker drains, or is back.
+func BenchmarkScaleChange(b *testing.B) {
+	bySize(b, func(b *testing.B, n int) func() {
+		d, now, i := scaleRig(b, n), 3*second, 0
+		ws := scaleWorkers(n)
+		return func() {
+			now += ms / 10
+			w := ws[i/2%n]
+			w.State = [2]WorkerState{Draining, Live}[i%2]
+			i++
+			d.Step(now, []Event{{Kind: EventList, List: ListChanges, Workers: []Worker{w}}})
+		}
+	})
+}
+
+// BenchmarkScaleTick is a tick without a job.
+func BenchmarkScaleTick(b *testing.B) {
+	bySize(b, func(b *testing.B, n int) func() {
+		d, now := scaleRig(b, n), 3*second
+		return func() {
+			now += d.tick
+			d.Step(now, nil)
+		}
+	})
+}
+
+// scaleJob is a job's whole life, without the ticks between: it comes, is sent, starts and is served.
+func scaleJob(b *testing.B, n int, request func(id uint64) Request) func() {
+	d, now, id := scaleRig(b, n), 3*second, uint64(0)
+	return func() {
+		now += ms
+		id++
+		r := request(id)
+		r.ID, r.Tenant, r.Deadline = id, int(id)%scaleTenants, now+2*second
+		for _, a := range d.Step(now, []Event{{Kind: EventRequest, Request: r}}) {
+			if a.Kind == ActionSend {
+				worker := a.Worker
+				d.Step(now, []Event{started(id, a.Attempt, worker), outcome(id, a.Attempt, worker, Served)})
+				break
+			}
+		}
+	}
+}
+
+func BenchmarkScaleJob(b *testing.B) {
+	bySize(b, func(b *testing.B, n int) func() {
+		return scaleJob(b, n, func(uint64) Request { return Request{} })
+	})
+}
+
+func BenchmarkScaleKindJob(b *testing.B) {
+	bySize(b, func(b *testing.B, n int) func() {
+		return scaleJob(b, n, func(uint64) Request { return Request{Class: 3} })
+	})
+}
+
+// BenchmarkScaleKeyedJob is the same with a key that is new each time.
+func BenchmarkScaleKeyedJob(b *testing.B) {
+	bySize(b, func(b *testing.B, n int) func() {
+		return scaleJob(b, n, func(id uint64) Request { return Request{Key: id} })
+	})
+}
--- a/dispatcher.go
+++ b/dispatcher.go
@@ -51,9 +51,7 @@
 	d.checkOverdue()
 	d.endScouting(func(j *job) bool { return d.now-j.came >= d.tick })
 	d.expireHeld()
-	for _, w := range d.list {
-		d.place(w)
-	}
+	d.placePending()
 	d.tickAt = d.now + d.tick
 	d.actions = append(d.actions, Action{Kind: ActionTimer, At: d.tickAt, Token: 1})
 }
--- a/dispatcher_test.go
+++ b/dispatcher_test.go
@@ -686,6 +686,7 @@
 		}
 		for _, w := range r.d.list {
 			w.overdue = 0
+			r.d.revisit(w)
 		}
 	}
 	if first < 100 || float64(copies) > maxCopies+copyShare*float64(first+copies)+1 {
--- a/fair_share.go
+++ b/fair_share.go
@@ -72,20 +72,13 @@
 // whole fleet can do, and would admit more than the rest can bear. Workers that
 // drain are taken out on purpose, as traffic falls, and count for nothing.
 func (d *Dispatcher) standing() float64 {
-	able, whole := 0.0, 0.0
-	for _, w := range d.list {
-		w.lost = w.lost && (w.state == Gone || d.young(w))
-		if w.state == Live {
-			able += d.warmth(w)
-		}
-		if w.lost || w.state == Live && !d.young(w) {
-			whole++
-		}
-	}
+	young, able := d.youngLive()
+	warm := len(d.live) - young
+	whole := warm + d.countLost()
 	if whole == 0 {
 		return 1 // nothing is known yet
 	}
-	return min(1, able/whole)
+	return min(1, (float64(warm)+able)/float64(whole))
 }
 
 // part is the share of every tenant's rate that is this dispatcher's: an even one,
--- /dev/null
+++ b/fleet_index_test.go
@@ -0,0 +1,239 @@
+package foxlift
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"testing"
+)
+
+// churn changes some workers at random: their states, starts and kinds.
+func (f *fuzzed) churn() Event {
+	var changed []Worker
+	for range f.rng.IntN(1 + len(f.workers)/4) {
+		w := &f.workers[f.rng.IntN(len(f.workers))]
+		w.State = []WorkerState{Live, Live, Draining, Gone}[f.rng.IntN(4)]
+		if f.rng.IntN(3) == 0 {
+			w.Started = f.now - f.rng.Int64N(second)
+		}
+		if f.rng.IntN(6) == 0 {
+			w.Kind = f.rng.IntN(4) - 1
+		}
+		changed = append(changed, *w)
+	}
+	return Event{Kind: EventList, List: ListChanges, Workers: changed}
+}
+
+// Over random histories what the index keeps is what a look at all workers would find, and those
+// that it leaves alone at a tick are those that would not move.
+func TestIndexAgreesWithALookAtAll(t *testing.T) {
+	for i, cfg := range fuzzConfigs() {
+		cfg.Dispatchers, cfg.MayMessage = []int{1, 5, 80}[i%3], false
+		cfg.Prices.CrossZone = float64(i%2) / 20
+		cfg.WarmAfter = []int64{20 * second, second, second / 3}[i%3]
+		cfg.Gauges = []Gauge{GaugeHeld, GaugeQueue, GaugeFreeSlots}
+		one := cfg.Classes[0]
+		one.Kind = 1
+		cfg.Classes = append(cfg.Classes, one)
+		f := newFuzz(t, uint64(i), cfg)
+		f.workers = fleet(40)
+		f.step([]Event{{Kind: EventList, List: ListFull, Workers: slices.Clone(f.workers)}})
+		for range 1500 {
+			f.now += 1 + f.rng.Int64N(6*ms)
+			events := f.events()
+			if f.rng.IntN(10) == 0 {
+				events = append(events, f.churn())
+			}
+			f.step(events)
+			checkIndex(t, f.d)
+		}
+		for range 40 { // until those that are gone are forgotten
+			f.now += 2 * second
+			f.step(f.due())
+			checkIndex(t, f.d)
+		}
+	}
+}
+
+func checkIndex(t *testing.T, d *Dispatcher) {
+	t.Helper()
+	var live, gone []*worker
+	var caps capSum
+	able, whole := 0.0, 0.0
+	for i, w := range d.list {
+		if i > 0 && d.list[i-1].number >= w.number || d.workers[w.id] != w {
+			t.Fatalf("%s is out of order in the list, or not known by its id", w.id)
+		}
+		if !w.pending {
+			level := w.level
+			if d.place(w); w.level != level || w.pending {
+				t.Fatalf("%s is not pending at level %d, and belongs to %d", w.id, level, w.level)
+			}
+		}
+		if w.state == Gone {
+			gone = append(gone, w)
+		}
+		if w.capped && w.state == Live {
+			caps.add(int64(w.cap*capUnit), 1)
+		}
+		if w.state == Live {
+			live = append(live, w)
+			able += d.warmth(w)
+		}
+		if w.lost && (w.state == Gone || d.young(w)) || w.state == Live && !d.young(w) {
+			whole++
+		}
+	}
+	if !slices.Equal(live, d.live) || len(d.workers) != len(d.list) {
+		t.Fatalf("%d live workers of %d, want %d", len(d.live), len(d.list), len(live))
+	}
+	for _, w := range gone {
+		if !slices.Contains(d.gone, w) {
+			t.Fatalf("%s is gone and would be kept for ever", w.id)
+		}
+	}
+	if caps != d.caps {
+		t.Fatalf("caps %+v, want %+v", d.caps, caps)
+	}
+	if want := min(1, able/max(1, whole)); whole > 0 && math.Abs(d.standing()-want) > 1e-12 {
+		t.Fatalf("standing %v, want %v", d.standing(), want)
+	}
+	for k := range d.classes {
+		j := &job{class: &d.classes[k], req: Request{Key: uint64(d.now)}}
+		homes, of := d.nearest(j)
+		want, wantOf := nearestOfAll(d, j)
+		if of != wantOf || !slices.Equal(homes, want) {
+			t.Fatalf("homes of a key: %d of %d, want %d of %d", len(homes), of, len(want), wantOf)
+		}
+	}
+}
+
+// nearestOfAll is what nearest returns, by a look at all workers.
+func nearestOfAll(d *Dispatcher, j *job) (homes []*worker, of int) {
+	for _, w := range d.live {
+		if !d.young(w) && (j.class.Kind < 0 || w.kind == j.class.Kind) &&
+			(w.zone == d.cfg.Zone || d.cfg.Prices.CrossZone <= 0) {
+			homes = append(homes, w)
+		}
+	}
+	rank := func(w *worker) uint64 { return mix(w.hash ^ j.req.Key*0x9e3779b97f4a7c15) }
+	slices.SortFunc(homes, func(a, b *worker) int {
+		if rank(a) > rank(b) {
+			return -1
+		}
+		return 1
+	})
+	return homes[:min(mostHomes, len(homes))], len(homes)
+}
+
+// What a step looks at does not grow with the fleet: a tick without a job looks at no worker, a
+// change at those that it names, a job at a sample. A loop over all of them would meet a worker that
+// is not there.
+func TestStepsLookAtFewWorkers(t *testing.T) {
+	const keyed = mostCompared + 4*sampled
+	for _, n := range []int{600, 19000} {
+		d := scaleRig(t, n)
+		d.list[1], d.live[1] = nil, nil
+		now := 3 * second
+		step := func(what string, most int, events ...Event) []Action {
+			t.Helper()
+			d.looked = 0
+			as := d.Step(now, events)
+			if d.looked > most {
+				t.Errorf("%d workers: %s looks at %d, want %d at most", n, what, d.looked, most)
+			}
+			return as
+		}
+		for range 200 { // with some runs of the regulator
+			now += d.tick
+			step("an idle tick", 0)
+		}
+		id := uint64(0)
+		for i, r := range []Request{{}, {Class: 1}, {Class: 3}, {Key: 5}, {Key: 6, Class: 2}, {Key: 7, Class: 3}} {
+			now += ms
+			id++
+			r.ID, r.Deadline = id, now+2*second
+			most := 2 * sampled
+			if r.Key != 0 {
+				most = keyed
+			}
+			for _, a := range step(fmt.Sprint("job ", i), most, Event{Kind: EventRequest, Request: r}) {
+				if a.Kind == ActionSend {
+					step("an outcome", 2*sampled, started(id, a.Attempt, a.Worker), outcome(id, a.Attempt, a.Worker, Served))
+				}
+			}
+		}
+		for i, state := range []WorkerState{Draining, Gone, Live, Draining, Live} {
+			now += ms
+			w := Worker{ID: fmt.Sprintf("worker-%05d", n/2), State: state}
+			step(fmt.Sprint("change ", i), 4, Event{Kind: EventList, List: ListChanges, Workers: []Worker{w}})
+		}
+		for range 70 { // until one that is gone is forgotten
+			now += second
+			step("a tick after a change", 4)
+		}
+	}
+}
+
+// In a fleet of which a key's homes are searched in a part, every worker is the first home of about
+// as many keys, and one that goes moves its own keys alone.
+func TestHomesInALargeFleet(t *testing.T) {
+	const workers, keys = 6000, 60000
+	d := scaleRig(t, workers)
+	home := func(key uint64) *worker {
+		ws, of := d.nearest(&job{class: &d.classes[0], req: Request{Key: key}})
+		if len(ws) != mostHomes || of < workers*4/5 || of > workers*5/4 {
+			t.Fatalf("%d homes of %d workers", len(ws), of)
+		}
+		return ws[0]
+	}
+	rng := rand.New(rand.NewPCG(1, 1))
+	before, most := map[uint64]*worker{}, map[*worker]int{}
+	for range keys {
+		key := rng.Uint64()
+		before[key] = home(key)
+		most[before[key]]++
+	}
+	if len(most) < workers*99/100 {
+		t.Errorf("only %d workers are homes", len(most))
+	}
+	for w, n := range most {
+		if n > 40 { // of 10 on average
+			t.Errorf("%s is the home of %d keys of %d", w.id, n, keys)
+		}
+	}
+	lost := d.live[7]
+	d.Step(3*second, []Event{{Kind: EventList, List: ListChanges, Workers: []Worker{{ID: lost.id, State: Gone}}}})
+	for key, w := range before {
+		if now := home(key); (now != w) != (w == lost) {
+			t.Errorf("key %d moved from %s to %s when %s went", key, w.id, now.id, lost.id)
+		}
+	}
+}
+
+// Where a fleet grows so far that its part is divided, a key keeps about half of its homes.
+func TestHomesWhereAPartIsDivided(t *testing.T) {
+	d := scaleRig(t, mostCompared)
+	homes := func(key uint64) []*worker {
+		ws, _ := d.nearest(&job{class: &d.classes[0], req: Request{Key: key}})
+		return ws
+	}
+	before := map[uint64][]*worker{}
+	for key := uint64(1); key <= 500; key++ {
+		before[key] = homes(key)
+	}
+	d.Step(3*second, []Event{{Kind: EventList, List: ListChanges, Workers: []Worker{{ID: "one more"}}}})
+	kept := 0
+	for key, ws := range before {
+		now := homes(key)
+		for _, w := range ws {
+			if slices.Contains(now, w) {
+				kept++
+			}
+		}
+	}
+	if part := float64(kept) / float64(500*mostHomes); part < 0.45 || part > 0.55 {
+		t.Errorf("%.2f of the homes are kept", part)
+	}
+}
--- a/fleet_test.go
+++ b/fleet_test.go
@@ -455,7 +455,8 @@
 
 // A worker that goes moves the keys whose home it was, and no others.
 func TestRendezvousMovesOnlyTheKeysOfTheLost(t *testing.T) {
-	d := newRig(t, manyConfig(), fleet(60)...).d
+	r := newRig(t, manyConfig(), fleet(60)...)
+	d := r.d
 	home := func(key uint64) *worker {
 		ws, of := d.nearest(&job{class: &d.classes[0], req: Request{Key: key}})
 		if of != len(d.live) {
@@ -475,7 +476,7 @@
 		}
 	}
 	lost := d.live[7]
-	d.live = append(d.live[:7:7], d.live[8:]...)
+	r.step(Event{Kind: EventList, List: ListChanges, Workers: []Worker{{ID: lost.id, State: Gone}}})
 	for key, w := range before {
 		if now := home(key); (now != w) != (w == lost) {
 			t.Errorf("key %d moved from %s to %s when %s went", key, w.id, now.id, lost.id)
--- a/health.go
+++ b/health.go
@@ -46,6 +46,7 @@
 
 // learnRoom moves the worker's cap and the fleet's window after an answer.
 func (d *Dispatcher) learnRoom(w *worker, late bool) {
+	defer d.recountCap(w)
 	gain := windowGain * min(d.crowd, 8) // each of many sees fewer starts
 	if late {
 		w.cap, w.capped = max(1, min(w.cap, w.own)-0.5), true
@@ -197,4 +198,7 @@
 	if level != w.level {
 		d.moveTo(w, level)
 	}
+	if !w.pending && d.timed(w) {
+		d.revisit(w)
+	}
 }
--- a/keys.go
+++ b/keys.go
@@ -30,23 +30,33 @@
 func (d *Dispatcher) nearest(j *job) (homes []*worker, of int) {
 	var hashes [mostHomes]uint64
 	ws := make([]*worker, 0, mostHomes)
-	for _, w := range d.live {
-		if d.young(w) || j.class.Kind >= 0 && w.kind != j.class.Kind ||
-			w.zone != d.cfg.Zone && d.cfg.Prices.CrossZone > 0 {
-			continue
+	index := &d.homes[j.class.Kind+1]
+	from, to := index.search(j.req.Key)
+	compared := 0
+	for _, bucket := range index[from:to] {
+		compared += len(bucket)
+		for i := range bucket {
+			e := &bucket[i]
+			if d.now < e.warmAt {
+				continue
+			}
+			of++
+			h := mix(e.hash ^ j.req.Key*0x9e3779b97f4a7c15)
+			i := len(ws)
+			if i < mostHomes {
+				ws = append(ws, e.worker)
+			} else if i--; h <= hashes[i] {
+				continue
+			}
+			for ; i > 0 && hashes[i-1] < h; i-- {
+				hashes[i], ws[i] = hashes[i-1], ws[i-1]
+			}
+			hashes[i], ws[i] = h, e.worker
 		}
-		of++
-		h := mix(w.hash ^ j.req.Key*0x9e3779b97f4a7c15)
-		i := len(ws)
-		if i < mostHomes {
-			ws = append(ws, w)
-		} else if i--; h <= hashes[i] {
-			continue
-		}
-		for ; i > 0 && hashes[i-1] < h; i-- {
-			hashes[i], ws[i] = hashes[i-1], ws[i-1]
-		}
-		hashes[i], ws[i] = h, w
+	}
+	d.looked += compared
+	if from > 0 || to < homeBuckets { // as many are warm elsewhere
+		of = of * index.size(0, homeBuckets) / max(1, compared)
 	}
 	return ws, of
 }
--- a/machine_list.go
+++ b/machine_list.go
@@ -2,8 +2,6 @@
 
 // The machine list: when to ask discovery for it, and what its news changes.
 
-import "hash/fnv"
-
 func (d *Dispatcher) askForList() {
 	if c := &d.listCall; d.cfg.ListOnRequest && !c.joined && !c.waiting && d.now >= c.next {
 		c.waiting = true
@@ -24,32 +22,25 @@
 	for i := range entries {
 		d.onWorker(&entries[i])
 	}
-	for _, w := range d.list {
-		if kind != ListChanges && w.listed != d.lists {
-			w.setState(Gone, d.now)
-		}
+	if kind != ListChanges {
+		d.dropUnlisted()
 	}
 	d.collectLive()
 	if kind == ListSaved || d.window == 0 {
 		d.window = d.meanCap() * float64(len(d.live)) / d.crowd // nothing is known against it
 	}
-	for _, w := range d.list {
-		d.place(w)
-	}
+	d.placePending()
 }
 
 func (d *Dispatcher) onWorker(e *Worker) {
 	w := d.workers[e.ID]
 	if w == nil {
-		h := fnv.New64a()
-		h.Write([]byte(e.ID))
-		w = &worker{id: e.ID, state: Gone, level: -1, hash: h.Sum64() * 0xff51afd7ed558ccd, up: -1}
+		w = d.newWorker(e.ID)
 		w.cap = d.meanCap()
-		d.workers[e.ID] = w
-		d.list = append(d.list, w)
 	}
 	d.moveTo(w, -1) // its kind may change
 	w.setState(e.State, d.now)
+	d.recountCap(w)
 	w.zone, w.kind, w.cell, w.listed = e.Zone, e.Kind, e.Cell, d.lists
 	w.own, w.others = w.own+e.Others-w.others, e.Others
 	if w.kind+1 >= len(d.room) {
@@ -58,6 +49,7 @@
 	if w.up != e.Started {
 		d.restarted(w, e.Started)
 	}
+	d.noteWorker(w)
 }
 
 // restarted forgets what was learned of a process that is no more. The first
@@ -72,19 +64,7 @@
 }
 
 // meanCap is what a worker counts at until it answers.
-func (d *Dispatcher) meanCap() float64 {
-	sum, n := 0.0, 0.0
-	for _, w := range d.list {
-		if w.capped && w.state == Live {
-			sum += w.cap
-			n++
-		}
-	}
-	if n == 0 {
-		return 4
-	}
-	return sum / n
-}
+func (d *Dispatcher) meanCap() float64 { return d.caps.mean(4) }
 
 // keepGone is how long a worker that is gone counts as lost and may come back as itself.
 const keepGone = 60 * second
--- a/placement.go
+++ b/placement.go
@@ -9,6 +9,7 @@
 
 const (
 	sampled      = 24   // workers looked at for one job, of those with as many
+	mostTried    = 1024 // workers that are all looked at for a job that may go anywhere but where it failed
 	crossingJobs = 40.0 // of our jobs, that a crossing at the price of a whole job weighs; one of many has few
 	unproven     = 3.0  // that a worker weighs where our last job found no room
 	heavyFrom    = 0.3  // warmth from which a young worker gets other than the lightest jobs
@@ -22,6 +23,7 @@
 	var best *worker
 	bestCost := math.Inf(1)
 	try := func(w *worker, extra float64, has bool) {
+		d.looked++
 		if !d.fits(j, w) {
 			return
 		}
@@ -45,14 +47,16 @@
 	}
 	for l := 0; l < d.levels && float64(l) < bestCost; l++ {
 		ws := d.roomAt(j.class.Kind, l)
-		if len(ws) <= sampled || j.mayRan != nil {
-			for _, w := range ws {
-				try(w, float64(l), false)
+		if ws.size <= sampled || j.mayRan != nil && (ws.size <= mostTried || j.class.Effect != Idempotent) {
+			for _, part := range ws.parts {
+				for _, w := range part {
+					try(w, float64(l), false)
+				}
 			}
 			continue
 		}
 		for range sampled {
-			try(ws[d.rng.IntN(len(ws))], float64(l), false)
+			try(ws.at(d.rng.IntN(ws.size)), float64(l), false)
 		}
 		for _, w := range d.fresh {
 			if w != nil && w.level == l && (j.class.Kind < 0 || w.kind == j.class.Kind) {
--- a/regulator.go
+++ b/regulator.go
@@ -76,13 +76,8 @@
 	d.u = v * d.uMax()
 	d.agree()
 	d.refillRates()
-	warm := 0
-	for _, w := range d.list {
-		if w.state == Live && !d.young(w) {
-			warm++
-		}
-	}
-	if warm > 0 {
+	young, _ := d.youngLive()
+	if warm := len(d.live) - young; warm > 0 {
 		// A peak is held for a while: what workers once served they can serve, also
 		// when traffic or a failure keeps them from it now.
 		d.warmNow += (d.served/float64(warm) - d.warmNow) * max(rateGain/min(d.crowd, 2), 1/float64(d.period))
--- a/state.go
+++ b/state.go
@@ -47,18 +47,19 @@
 	refilled int64
 	round    int64 // of dispatch
 
-	workers  map[string]*worker
-	list     []*worker     // in the order first heard of
-	room     [][][]*worker // by kind+1, then by own count: workers that may get a job
-	levels   int           // most levels of any kind
-	joined   []*worker     // of several kinds, for roomAt
-	live     []*worker     // the live ones
-	keys     keyLog        // of the last jobs
-	inflight float64       // slots of our jobs in flight
-	waits    int           // attempts sent that have not started, on workers that may be well
-	window   float64       // how many of them the fleet starts without delay
-	usual    mean          // pressure that load reports show
-	fresh    [4]*worker    // the last that reported
+	workers map[string]*worker
+	list    []*worker     // in the order first heard of
+	room    [][][]*worker // by kind+1, then by own count: workers that may get a job
+	levels  int           // most levels of any kind
+	parts   [][]*worker   // for roomAt
+	live    []*worker     // the live ones, in the list's order
+	fleetIndex
+	keys     keyLog     // of the last jobs
+	inflight float64    // slots of our jobs in flight
+	waits    int        // attempts sent that have not started, on workers that may be well
+	window   float64    // how many of them the fleet starts without delay
+	usual    mean       // pressure that load reports show
+	fresh    [4]*worker // the last that reported
 	freshAt  int
 	fade     int64    // time in which a load report loses its meaning
 	starts   mean     // delay from sending to the start
@@ -181,7 +182,7 @@
 		aim, kinds = min(aim, c.Aim), max(kinds, c.Kind+1)
 	}
 	d.tick = max(aim/8, int64(1e6))
-	d.room = make([][][]*worker, kinds+1)
+	d.room, d.homes = make([][][]*worker, kinds+1), make([]homeIndex, kinds+1)
 	d.crowd = max(1, float64(cfg.Dispatchers)/few)
 	bears := cfg.FallMultiple * cfg.StartCapacity * d.meanCap() // slots, of a worker that has just started
 	d.light = float64(aim)
@@ -239,6 +240,7 @@
 	if e.Code == Served && e.HasLoad {
 		d.report(w, e)
 	}
+	d.revisit(w) // it may have more slots than was known
 	d.endScouting(func(j *job) bool { return true })
 }
 
--- a/workers.go
+++ b/workers.go
@@ -2,14 +2,12 @@
 
 // What is known of workers, and where they stand. Nothing is decided here.
 
-import (
-	"math"
-	"slices"
-)
+import "math"
 
 // A worker is what this dispatcher knows of one.
 type worker struct {
 	id               string
+	number           int64 // in the order first heard of
 	zone, kind, cell int
 	state            WorkerState
 	listed           int64 // number of the last list event that named it
@@ -46,6 +44,19 @@
 	conns      int      // connections thought open
 	idleAt     int64    // last use of a connection
 	keys       []uint64 // of our last jobs there, the newest first
+
+	indexed // where it stands in Dispatcher.fleetIndex
+}
+
+// indexed is what fleetIndex notes of a worker.
+type indexed struct {
+	pending, live, inGone, inLost bool  // in the slice of that name
+	forgotten                     bool  // no more in Dispatcher.workers
+	counted                       bool  // its cap is in the sum,
+	countedCap                    int64 // as so much
+	home                          bool  // in the index of homes,
+	homeKind                      int   // of this kind,
+	homeWarm                      int64 // and warm from then on
 }
 
 // moveTo puts a worker into another of the room lists, or, for a negative level,
@@ -73,33 +84,39 @@
 	}
 }
 
-// roomAt returns the workers of one level, and of one kind if it is not negative. They are
-// valid until the next call, and until a worker moves.
-func (d *Dispatcher) roomAt(kind, level int) []*worker {
-	at := func(k int) []*worker {
-		if level >= len(d.room[k]) {
-			return nil
-		}
-		return d.room[k][level]
-	}
-	if kind >= 0 || len(d.room) == 1 {
-		return at(kind + 1)
+// A roomView is the workers of one level, of one kind or of all. It is valid until the next call of
+// roomAt, and until a worker moves.
+type roomView struct {
+	parts [][]*worker // by kind
+	size  int
+}
+
+// roomAt returns the workers of one level, and of one kind if it is not negative.
+func (d *Dispatcher) roomAt(kind, level int) (v roomView) {
+	from, to := kind+1, kind+2
+	if kind < 0 {
+		from, to = 0, len(d.room)
 	}
-	d.joined = d.joined[:0]
-	for k := range d.room {
-		d.joined = append(d.joined, at(k)...)
+	d.parts = d.parts[:0]
+	for _, levels := range d.room[from:to] {
+		if level < len(levels) {
+			d.parts = append(d.parts, levels[level])
+			v.size += len(levels[level])
+		}
 	}
-	return d.joined
+	v.parts = d.parts
+	return v
 }
 
-// collectLive collects the live workers.
-func (d *Dispatcher) collectLive() {
-	d.live = d.live[:0]
-	for _, w := range d.list {
-		if w.state == Live {
-			d.live = append(d.live, w)
+// at returns the worker of an index under size.
+func (v roomView) at(i int) *worker {
+	for _, part := range v.parts {
+		if i < len(part) {
+			return part[i]
 		}
+		i -= len(part)
 	}
+	return nil
 }
 
 // coldSent is the work that a young worker has been sent in this window, where no rate is known.
@@ -131,23 +148,6 @@
 	w.state = s
 }
 
-// forgetGone drops the workers that have been gone since before a time, once nothing is
-// counted there: a fleet that replaces its workers for months must not cost more by the day.
-func (d *Dispatcher) forgetGone(before int64) {
-	d.list = slices.DeleteFunc(d.list, func(w *worker) bool {
-		if w.state != Gone || w.went >= before || w.jobs > 0 || w.others != 0 {
-			return false
-		}
-		delete(d.workers, w.id)
-		for i, f := range d.fresh {
-			if f == w {
-				d.fresh[i] = nil
-			}
-		}
-		return true
-	})
-}
-
 // report keeps a worker's load report.
 func (d *Dispatcher) report(w *worker, e *Event) {
 	w.load, w.loaded, w.since, w.loadAt = e.Load, true, 0, d.now
