A flood of connections makes way all at once, not an eighth of the budget at a time

Seen in a probe: front.makeRoomLocked ends 50 of 270 connections at a time and then waits out their 0.1 s grace, so connections wait up to seconds in the accept queue, unseen by job.Arrived. Ruled out: retries told the first attempt's time, the same id again, slow writers.

Change: idle connections of at most one job go at once; proven ones still an eighth at a time. TestFloodMakesWayAtOnce fails without it.

--- a/internal/platform/front.go
+++ b/internal/platform/front.go
@@ -85,7 +85,7 @@
 	graceTime     = 100 * time.Millisecond
 	newTime       = 50 * time.Millisecond  // a usual submitter's first request has begun by then,
 	slowTime      = 250 * time.Millisecond // and has come whole by then
-	roomBatch     = 8                      // the part of the budget that makes way at a time
+	roomBatch     = 8                      // the part of the budget that makes way at a time, of proven connections
 	acceptPause   = 5 * time.Millisecond   // after a failed accept, doubled each time
 	acceptPauseUp = 500 * time.Millisecond
 )
@@ -160,17 +160,17 @@
 	f.makeRoomLocked(n)
 }
 
-// makeRoomLocked ends n connections and, where n is over 0, some more: whoever waits
-// behind a flood must not wait for one end after the other. Those that are about to
-// end already count. The first to go are those that never brought a job and are
-// silent, then those that are slow about their first, then those that brought one
-// and stayed, so that a flood of them does not cost other submitters their
-// connections; last the longest idle.
+// makeRoomLocked ends n connections and, where n is over 0, some more. Those that are about to
+// end already count. The first to go are those that never brought a job and are silent, then those
+// that are slow about their first, then those that brought one and stayed: all of them, since
+// whoever waits behind a flood waits for each batch of ends in turn, while the time that its job
+// has left runs out unseen. Last go the longest idle of those that brought more, a batch at a time,
+// so that a flood does not cost other submitters their connections.
 func (f *front) makeRoomLocked(n int) {
 	if n <= 0 {
 		return
 	}
-	n += f.budget / roomBatch
+	n += f.budget
 	end := func(s *submitter, which bool) {
 		if which && n > 0 {
 			n--
@@ -194,6 +194,7 @@
 			n-- // it brings a job or goes before long
 		}
 	}
+	n -= f.budget - f.budget/roomBatch
 	for s := range f.idlers() {
 		end(s, s.jobs > 1)
 	}
--- a/internal/platform/rules_test.go
+++ b/internal/platform/rules_test.go
@@ -435,6 +435,42 @@
 	}
 }
 
+// A flood of connections that brought one job each and stay makes way all at once: whoever waits
+// behind it must not wait for one batch of ends after the other.
+func TestFloodMakesWayAtOnce(t *testing.T) {
+	const budget = 20
+	p, _ := start(t, "", newNode(t, done))
+	f := newFront(p.core, core.NewClock(), &counters.Set{}, zap.NewNop(), listen(t).(*net.TCPListener), budget)
+	f.grace = patience // none of them is gone before the count
+	go f.accept()
+	q := &Platform{front: f}
+	usual := connect(t, q)
+	usual.ask(t, jobText("reading", "u0", "9000m", ""))
+	usual.ask(t, jobText("reading", "u1", "9000m", ""))
+	const flood = budget - budget/headroom - 2
+	for i := range flood {
+		connect(t, q).ask(t, jobText("reading", fmt.Sprint("f", i), "9000m", ""))
+	}
+	retired := func() (once, more int) {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		for s := range f.all {
+			switch {
+			case s.retire.Load() && s.jobs > 1:
+				more++
+			case s.retire.Load():
+				once++
+			}
+		}
+		return once, more
+	}
+	await(t, "all idle", func() bool { f.mu.Lock(); defer f.mu.Unlock(); return f.idle.Len() == flood+1 })
+	f.makeRoom(1)
+	once, more := retired()
+	check(t, "connections of one job that make way", once, flood)
+	check(t, "connections of more jobs that make way", more, 0)
+}
+
 // A request that crosses the end of an idle connection is read and answered.
 func TestRequestCrossesTheEnd(t *testing.T) {
 	p, _ := start(t, "", newNode(t, done))
