--- a/snapshot.go
+++ b/snapshot.go
@@ -120,6 +120,7 @@
 	for i := range s.Workers {
 		if w := d.workers[s.Workers[i].ID]; w != nil && w.up == s.Workers[i].Started {
 			w.restore(&s.Workers[i])
+			d.recountCap(w)
 			d.place(w)
 		}
 	}
--- a/snapshot_test.go
+++ b/snapshot_test.go
@@ -82,6 +82,9 @@
 	if to.d.classes[2].median == snapshot.Classes[2].Median {
 		t.Error("a class of another name was restored")
 	}
+	if mean, want := to.d.meanCap(), snapshot.Workers[0].Cap; snapshot.Workers[0].Capped && mean != want {
+		t.Errorf("the mean cap is %v, want that of the one worker that was restored, %v", mean, want)
+	}
 	if len(to.d.workers) != 2 {
 		t.Errorf("%d workers, want 2", len(to.d.workers))
 	}
