--- a/internal/daemon/upgrade.go
+++ b/internal/daemon/upgrade.go
@@ -187,6 +187,7 @@
 	}
 	first, err := d.place.Promote()
 	switch {
+	case errors.Is(err, os.ErrClosed): // this process has given up its place meanwhile
 	case err != nil:
 		d.log.Warn("the place of the serving process cannot be taken", zap.Error(err))
 	case !first:
--- a/internal/upgrade/place.go
+++ b/internal/upgrade/place.go
@@ -12,6 +12,7 @@
 	"os"
 	"path/filepath"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -30,7 +31,9 @@
 
 // A Place is a process's place among those that serve one address.
 type Place struct {
-	file      *os.File
+	path      string
+	mu        sync.Mutex
+	file      *os.File    // nil once the place is given up
 	successor atomic.Bool // this process is to take over
 }
 
@@ -42,7 +45,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("the place for upgrades: %w", err)
 	}
-	p := &Place{file: file}
+	p := &Place{path: file.Name(), file: file}
 	for end := time.Now().Add(limit); ; <-time.After(pause) {
 		taken, err := p.takeFree()
 		switch {
@@ -106,11 +109,29 @@
 func (p *Place) Succeeded() bool { return !p.successor.Load() && p.locked(byteListening) }
 
 // Leave gives up the place.
-func (p *Place) Leave() { p.file.Close() }
+func (p *Place) Leave() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.file != nil {
+		p.file.Close()
+		p.file = nil
+	}
+}
+
+// set changes the lock on a byte. Any goroutine may call it, also amid Leave: a descriptor that
+// was closed may be another file's by then.
+func (p *Place) set(command int, r *unix.Flock_t) error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.file == nil {
+		return os.ErrClosed
+	}
+	return unix.FcntlFlock(p.file.Fd(), command, r)
+}
 
 // lock takes a byte's lock; false if another process has it.
 func (p *Place) lock(at int64) (bool, error) {
-	err := unix.FcntlFlock(p.file.Fd(), unix.F_OFD_SETLK, byteRange(unix.F_WRLCK, at))
+	err := p.set(unix.F_OFD_SETLK, byteRange(unix.F_WRLCK, at))
 	if errors.Is(err, unix.EAGAIN) || errors.Is(err, unix.EACCES) {
 		return false, nil
 	}
@@ -118,13 +139,13 @@
 }
 
 func (p *Place) unlock(at int64) error {
-	return unix.FcntlFlock(p.file.Fd(), unix.F_OFD_SETLK, byteRange(unix.F_UNLCK, at))
+	return p.set(unix.F_OFD_SETLK, byteRange(unix.F_UNLCK, at))
 }
 
 // locked reports whether another process has a byte's lock.
 func (p *Place) locked(at int64) bool {
 	r := byteRange(unix.F_WRLCK, at)
-	return unix.FcntlFlock(p.file.Fd(), unix.F_OFD_GETLK, r) == nil && r.Type != unix.F_UNLCK
+	return p.set(unix.F_OFD_GETLK, r) == nil && r.Type != unix.F_UNLCK
 }
 
 func byteRange(kind int16, at int64) *unix.Flock_t {
--- a/internal/upgrade/state.go
+++ b/internal/upgrade/state.go
@@ -74,4 +74,4 @@
 // Discard removes the state, so that no later process takes it for new.
 func (p *Place) Discard() { os.Remove(p.statePath()) }
 
-func (p *Place) statePath() string { return p.file.Name() + stateSuffix }
+func (p *Place) statePath() string { return p.path + stateSuffix }
