One end for shut-down and kill, one way to begin and end a drain, one build for process tests

Cause: on reading the change again, Daemon.ShutDown and Kill spelt the same steps and a flag that the closed channel tells already; quiesce, resume and relieve each did the same swap (and relieve made a drain ten times a second to drop it); the counter's name stood in two packages; two TestMains were one text.

Change: Daemon.finish, front.begins and ends, counters.ClaimsWritten, fleet.RunWithProgram. Behaviour, bounds and assertions are as before.

--- a/internal/counters/counters.go
+++ b/internal/counters/counters.go
@@ -9,6 +9,9 @@
 	"sync"
 )
 
+// ClaimsWritten counts the attempts whose last byte was written.
+const ClaimsWritten = "claims.written"
+
 // A Set holds named counters. The zero value is ready; any goroutine may use it.
 type Set struct {
 	mu     sync.Mutex
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -62,7 +62,6 @@
 	gone     chan struct{}  // closed when all is answered,
 	over     sync.Once      // once
 	mu       sync.Mutex     // of the steps from starting to serving, and to the end
-	ended    bool
 }
 
 // Read reads and checks all of the configuration, and starts nothing.
@@ -258,12 +257,25 @@
 }
 
 // Kill ends the scheduler at once, as a kill of its process would for its peers.
-func (d *Daemon) Kill() {
+func (d *Daemon) Kill() { d.finish(d.platform.Kill) }
+
+// isEnding reports whether the end has begun.
+func (d *Daemon) isEnding() bool {
+	select {
+	case <-d.ending:
+		return true
+	default:
+		return false
+	}
+}
+
+// finish ends the platform by stop, and then what operators and other processes see of this one. A
+// start that is under way comes to its end before, or does not begin to serve any more.
+func (d *Daemon) finish(stop func()) {
 	d.end.Do(func() { close(d.ending) })
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.ended = true
-	d.platform.Kill()
+	stop()
 	d.over.Do(func() { close(d.gone) })
 	d.stopOperators()
 	if d.place != nil {
--- a/internal/daemon/upgrade.go
+++ b/internal/daemon/upgrade.go
@@ -60,7 +60,7 @@
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if d.ended {
+	if d.isEnding() {
 		return
 	}
 	d.loadState()
@@ -238,22 +238,15 @@
 // ShutDown ends the scheduler once everything taken is answered. Where another process has taken
 // over, new connections go there already, and the health stays as it is.
 func (d *Daemon) ShutDown() {
-	d.end.Do(func() { close(d.ending) })
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	d.ended = true
-	switch {
-	case !d.serving.Load():
-		d.platform.Kill()
-	case d.place != nil && d.place.Succeeded():
-		d.log.Info("another process has taken over")
-		d.platform.HandOver()
-	default:
-		d.platform.ShutDown()
-	}
-	d.over.Do(func() { close(d.gone) })
-	d.stopOperators()
-	if d.place != nil {
-		d.place.Leave()
-	}
+	d.finish(func() {
+		switch {
+		case !d.serving.Load():
+			d.platform.Kill()
+		case d.place != nil && d.place.Succeeded():
+			d.log.Info("another process has taken over")
+			d.platform.HandOver()
+		default:
+			d.platform.ShutDown()
+		}
+	})
 }
--- /dev/null
+++ b/internal/lab/fleet/build.go
@@ -0,0 +1,26 @@
+package fleet
+
+import (
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+)
+
+// RunWithProgram builds the scheduler aside, runs tests with the path of the binary, removes it and
+// returns the tests' exit code; 1 if there is no binary.
+func RunWithProgram(run func(program string) int) int {
+	dir, err := os.MkdirTemp("", "foxlift-build-")
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return 1
+	}
+	defer os.RemoveAll(dir)
+	program := filepath.Join(dir, "foxlift")
+	out, err := exec.Command("go", "build", "-o", program, "github.com/vatu-meals/foxlift/cmd/foxlift").CombinedOutput()
+	if err != nil {
+		fmt.Fprintf(os.Stderr, "go build: %v\n%s", err, out)
+		return 1
+	}
+	return run(program)
+}
--- a/internal/lab/fleet/fleet_test.go
+++ b/internal/lab/fleet/fleet_test.go
@@ -6,8 +6,6 @@
 	"net"
 	"net/http"
 	"os"
-	"os/exec"
-	"path/filepath"
 	"syscall"
 	"testing"
 	"time"
@@ -19,19 +17,10 @@
 var program string // the built binary
 
 func TestMain(m *testing.M) {
-	dir, err := os.MkdirTemp("", "foxlift-build-")
-	if err != nil {
-		panic(err)
-	}
-	program = filepath.Join(dir, "foxlift")
-	code := 1
-	if out, err := exec.Command("go", "build", "-o", program, "../../../cmd/foxlift").CombinedOutput(); err != nil {
-		fmt.Fprintf(os.Stderr, "go build: %v\n%s", err, out)
-	} else {
-		code = m.Run()
-	}
-	os.RemoveAll(dir)
-	os.Exit(code)
+	os.Exit(RunWithProgram(func(built string) int {
+		program = built
+		return m.Run()
+	}))
 }
 
 // small is a fleet of so many processes on eight nodes, with short jobs.
--- a/internal/lab/service/main_test.go
+++ b/internal/lab/service/main_test.go
@@ -2,32 +2,21 @@
 
 import (
 	"context"
-	"fmt"
 	"os"
-	"os/exec"
-	"path/filepath"
 	"testing"
 	"time"
 
 	"github.com/vatu-meals/foxlift/internal/lab"
+	"github.com/vatu-meals/foxlift/internal/lab/fleet"
 )
 
 var program string // the built binary
 
 func TestMain(m *testing.M) {
-	dir, err := os.MkdirTemp("", "foxlift-build-")
-	if err != nil {
-		panic(err)
-	}
-	program = filepath.Join(dir, "foxlift")
-	code := 1
-	if out, err := exec.Command("go", "build", "-o", program, "../../../cmd/foxlift").CombinedOutput(); err != nil {
-		fmt.Fprintf(os.Stderr, "go build: %v\n%s", err, out)
-	} else {
-		code = m.Run()
-	}
-	os.RemoveAll(dir)
-	os.Exit(code)
+	os.Exit(fleet.RunWithProgram(func(built string) int {
+		program = built
+		return m.Run()
+	}))
 }
 
 // patience is for what comes at its own pace: far beyond any rule.
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -15,11 +15,7 @@
 	"github.com/vatu-meals/foxlift/internal/counters"
 )
 
-// The prefix of every figure's name, and the counter of attempts whose last byte was written.
-const (
-	namespace    = "scheduler"
-	TriesCounter = "claims.written"
-)
+const namespace = "scheduler" // the prefix of every figure's name
 
 // poolLimit is how long a call waits for the core to tell of the pool. Answers are owed within
 // 1 s; a core that is busier than this shows what it last told.
@@ -82,7 +78,7 @@
 		}
 	}
 	pool := c.lookAtPool()
-	out <- prometheus.MustNewConstMetric(c.tries, prometheus.CounterValue, float64(c.counters.Get(TriesCounter)))
+	out <- prometheus.MustNewConstMetric(c.tries, prometheus.CounterValue, float64(c.counters.Get(counters.ClaimsWritten)))
 	out <- prometheus.MustNewConstMetric(c.active, prometheus.GaugeValue, float64(c.source.Active()))
 	out <- prometheus.MustNewConstMetric(c.size, prometheus.GaugeValue, float64(pool.Size))
 	out <- prometheus.MustNewConstMetric(c.ejected, prometheus.GaugeValue, float64(pool.Ejected))
--- a/internal/metrics/metrics_test.go
+++ b/internal/metrics/metrics_test.go
@@ -26,7 +26,7 @@
 	}
 	set.AddPart("jobs.refused", `odd"name`)
 	set.AddPart("jobs.failed", "C")
-	set.Add(TriesCounter)
+	set.Add(counters.ClaimsWritten)
 	s := &source{pool: core.Pool{Size: 12, Ejected: 2}}
 	handler := Handler([]string{"C", `odd"name`}, set, s)
 	read := func() string {
--- a/internal/platform/attempt.go
+++ b/internal/platform/attempt.go
@@ -19,6 +19,7 @@
 
 	"github.com/vatu-meals/foxlift"
 	"github.com/vatu-meals/foxlift/internal/core"
+	"github.com/vatu-meals/foxlift/internal/counters"
 )
 
 // An attempt carries out one claim: it connects to the execute node, writes the
@@ -79,7 +80,7 @@
 	if code := conn.deliver(a.request(), a.nodes.holdTime(conn, a.job.Class), a.writeBy, may); code != foxlift.Served {
 		return ended(code), false
 	}
-	a.nodes.counters.Add("claims.written")
+	a.nodes.counters.Add(counters.ClaimsWritten)
 	return a.receive(conn)
 }
 
--- a/internal/platform/drain.go
+++ b/internal/platform/drain.go
@@ -1,6 +1,9 @@
 package platform
 
-import "time"
+import (
+	"sync/atomic"
+	"time"
+)
 
 // A drain is a time in which submitters are sent away while the scheduler goes on. The platform
 // stops new connections 0.2 s after it has seen the health turn, which it asks for ten times a
@@ -37,32 +40,44 @@
 
 // quiesce begins a drain, unless there is one.
 func (f *front) quiesce() {
-	if !f.drain.CompareAndSwap(nil, &drain{time.Now(), drainStay}) {
-		return
+	if f.begins(&f.drain, drainStay) {
+		f.counters.Add("drains.begun")
 	}
-	f.counters.Add("drains.begun")
-	f.wakeIdle()
 }
 
 // resume ends the drain. Connections that it has not closed yet stay.
 func (f *front) resume() {
-	if f.drain.Swap(nil) != nil {
+	if f.ends(&f.drain) {
 		f.counters.Add("drains.ended")
-		f.wakeIdle()
 	}
 }
 
 // relieve sends submitters to another process that listens on the same address, or, when that is
 // gone, no longer does. The health stays as it is: the address is served.
 func (f *front) relieve(on bool) {
-	var d *drain
 	if on {
-		d = &drain{time.Now(), reliefStay}
+		f.begins(&f.relief, reliefStay)
+	} else {
+		f.ends(&f.relief)
+	}
+}
+
+// begins begins one of the front's drains; false if there is one.
+func (f *front) begins(at *atomic.Pointer[drain], stay time.Duration) bool {
+	if at.Load() != nil || !at.CompareAndSwap(nil, &drain{time.Now(), stay}) {
+		return false
 	}
-	if on && !f.relief.CompareAndSwap(nil, d) || !on && f.relief.Swap(nil) == nil {
-		return
+	f.wakeIdle()
+	return true
+}
+
+// ends ends one of the front's drains; false if there is none.
+func (f *front) ends(at *atomic.Pointer[drain]) bool {
+	if at.Swap(nil) == nil {
+		return false
 	}
 	f.wakeIdle()
+	return true
 }
 
 // sending returns why submitters are sent away while the scheduler goes on; nil if they are not.
--- a/internal/platform/machines.go
+++ b/internal/platform/machines.go
@@ -157,10 +157,7 @@
 // waitEndLocked returns until when a claim that has waited since began waits for an answer to be
 // in the list. While it is being read, the wait goes on: a long list takes its time.
 func (m *machines) waitEndLocked(began time.Time) time.Time {
-	end, most := began.Add(catchUp), began.Add(catchUpMost)
-	if reads := m.readAt.Add(catchUp); reads.After(end) {
-		end = reads
-	}
+	end, most := later(began, m.readAt).Add(catchUp), began.Add(catchUpMost)
 	if end.After(most) {
 		end = most
 	}
