A few dispatchers hold jobs for less, newest first; the window counts another process's jobs

Seen with a line a second from the module: after a takeover the window falls from 26.6 to 11.8 within a second and to 7.9 and 5.2 later, since one late start clamps it to twice the new process's own jobs (learnRoom, 8 of 25 in flight). Ruled out: jobs turned back at the door (0), the start's delay, tokens (full), descriptors.

Change: the window is held against all jobs in flight, the other process's too. One of a few dispatchers that do not know of each other's jobs keeps time for two median runs, tells jobs over a share after an eighth of the aim, and serves a queue of three from its newest on.

--- a/admission.go
+++ b/admission.go
@@ -26,7 +26,7 @@
 	d.arrived++
 	j.tenant.arrived++
 	j.tenant.classes[r.Class].came++
-	late := d.now-j.born >= max(d.holdLimit(j), 2*d.tick) && d.inflight >= d.window/2
+	late := d.now-j.born >= max(d.holdLimit(j), 2*d.tick) && d.busy() >= d.window/2
 	if late || r.Deadline-d.now <= 2*d.tick {
 		d.urgent = append(d.urgent, j)
 	} else if d.scout(j) {
@@ -50,14 +50,36 @@
 	d.urgent = d.urgent[:0]
 }
 
+// How long a few dispatchers hold jobs that do not tell each other of theirs. What each holds is a large
+// part of the fleet's work, and a job sent with time for the median run is late at every worker that
+// has others' jobs.
+const (
+	runsLeft   = 2 // median runs for which there is time when a job has been held for longest; 1 elsewhere
+	overHold   = 8 // part of its aim that a job of a tenant over its share is held; 2 elsewhere
+	newestFrom = 3 // jobs of one class held for a tenant, of which the newest goes first
+)
+
+// unaware says that this is one of a few dispatchers, and that it does not know of the others' jobs.
+func (d *Dispatcher) unaware() bool { return !d.many() && !d.knows() }
+
 // holdLimit is how old a job may become that is held. That of a tenant over its
 // share is told early: what it sends past the share is nearly worthless, and a
 // queue of it would delay the rest.
 func (d *Dispatcher) holdLimit(j *job) int64 {
+	part, runs := int64(2), int64(1)
+	if d.unaware() {
+		part, runs = overHold, runsLeft
+	}
 	if j.tenant.over() {
-		return max(1, j.class.Aim/2)
+		return max(1, j.class.Aim/part)
 	}
-	return max(1, d.timely(j)-j.class.median-int64(d.starts.avg+2*d.starts.dev))
+	return max(1, d.timely(j)-runs*j.class.median-int64(d.starts.avg+2*d.starts.dev))
+}
+
+// newestFirst says that of a tenant's queue the newest job goes first, which has its whole time
+// before it: most must be refused, or more wait than can all be in time.
+func (d *Dispatcher) newestFirst(t *tenant, q []*job) bool {
+	return t.over() || d.unaware() && len(q) >= newestFrom
 }
 
 // timely is the time in which a job without a hint is surely in time. The median that
--- a/dispatch_order.go
+++ b/dispatch_order.go
@@ -12,7 +12,7 @@
 	d.sendAgain()
 	for d.sendNext(true) {
 	}
-	for (d.open || d.spare >= 1) && d.inflight < d.window && d.sendNext(false) {
+	for (d.open || d.spare >= 1) && d.busy() < d.window && d.sendNext(false) {
 		d.spare = max(0, d.spare-1)
 	}
 }
@@ -98,7 +98,7 @@
 			if len(q) == 0 || t.classes[k].blocked == d.round {
 				continue
 			}
-			j := t.next(q, d.round)
+			j := next(q, d.newestFirst(t, q), d.round)
 			if j == nil {
 				continue
 			}
--- a/dispatcher_test.go
+++ b/dispatcher_test.go
@@ -1148,3 +1148,35 @@
 		t.Error("a new process holds what the former one had")
 	}
 }
+
+// What one of a few dispatchers holds, unknown to the others, would be late at workers that have their
+// jobs: it keeps time for two runs, tells jobs over a share at the next tick, and serves a queue from
+// its newest job on. One that knows of all jobs does none of this.
+func TestUnawareDispatchersHoldForLess(t *testing.T) {
+	for _, c := range []struct {
+		dispatchers int
+		over        int64
+		runs        int64
+		first       uint64 // of three that are held
+	}{{1, 50 * ms, 1, 1}, {2, 100 * ms / 8, 2, 3}, {300, 50 * ms, 1, 1}} {
+		cfg := testConfig()
+		cfg.Dispatchers = c.dispatchers
+		r := newRig(t, cfg)
+		r.d.classes[0].Stretch, r.d.classes[0].median, r.d.classes[0].quick = 3, 80*ms, 80*ms
+		r.step(r.request(1, 0), r.request(2, 0), r.request(3, 0))
+		tn := r.d.tenantOf(0)
+		if got, want := r.d.holdLimit(r.d.jobs[1]), 100*ms+(3-c.runs)*80*ms; got != want {
+			t.Errorf("%d dispatchers: held for %d, want %d", c.dispatchers, got, want)
+		}
+		if j := next(tn.queues[0], r.d.newestFirst(tn, tn.queues[0]), r.d.round+1); j.id != c.first {
+			t.Errorf("%d dispatchers: job %d goes first, want %d", c.dispatchers, j.id, c.first)
+		}
+		if j := next(tn.queues[0][:2], r.d.newestFirst(tn, tn.queues[0][:2]), r.d.round+1); j.id != 1 {
+			t.Errorf("%d dispatchers: of two held job %d goes first", c.dispatchers, j.id)
+		}
+		tn.offered, tn.rate = 500, 5
+		if got := r.d.holdLimit(r.d.jobs[1]); got != c.over {
+			t.Errorf("%d dispatchers: held for %d when over the share, want %d", c.dispatchers, got, c.over)
+		}
+	}
+}
--- a/handover_test.go
+++ b/handover_test.go
@@ -144,3 +144,27 @@
 		t.Errorf("rate %v", a)
 	}
 }
+
+// A process that has just taken over has few jobs of its own at workers that are full of the other's:
+// a late start there does not shrink the window to twice its own, which would take minutes to grow back.
+func TestWindowCountsOthersJobs(t *testing.T) {
+	ws := fleet(12)
+	for i := range ws {
+		ws[i].Others = 2
+	}
+	r := newRig(t, testConfig(), ws...)
+	window := r.d.window
+	r.step(r.request(1, 0))
+	w := r.want(ActionSend, 1)[0].Worker
+	r.after(50*ms, started(1, 0, w)) // late
+	if got := r.d.window; got < window*0.98 {
+		t.Errorf("a window of %v becomes %v with 25 jobs in flight", window, got)
+	}
+	for i := range ws {
+		ws[i].Others = 0
+	}
+	r.step(Event{Kind: EventList, List: ListChanges, Workers: ws})
+	if got := r.d.busy(); got != 1 {
+		t.Errorf("%v slots in flight once the other has none, want 1", got)
+	}
+}
--- a/health.go
+++ b/health.go
@@ -50,13 +50,13 @@
 	gain := windowGain * min(d.crowd, 8) // each of many sees fewer starts
 	if late {
 		w.cap, w.capped = max(1, min(w.cap, w.own)-0.5), true
-		d.window = max(1, min(d.window, 2*d.inflight)*(1-gain))
+		d.window = max(1, min(d.window, 2*d.busy())*(1-gain))
 		return
 	}
 	if w.own >= w.cap-1 {
 		w.cap, w.capped = w.cap+0.25, true
 	}
-	if d.inflight >= d.window/2 {
+	if d.busy() >= d.window/2 {
 		d.window += d.window * gain * lateStarts / (1 - lateStarts)
 	}
 }
--- a/machine_list.go
+++ b/machine_list.go
@@ -42,6 +42,7 @@
 	w.setState(e.State, d.now)
 	d.recountCap(w)
 	w.zone, w.kind, w.cell, w.listed = e.Zone, e.Kind, e.Cell, d.lists
+	d.othersOut += e.Others - w.others
 	w.own, w.others = w.own+e.Others-w.others, e.Others
 	if w.kind+1 >= len(d.room) {
 		w.kind = -1
--- a/queue.go
+++ b/queue.go
@@ -27,12 +27,12 @@
 	j.queued = false
 }
 
-// next returns the oldest job of a queue, or for a tenant over its share the newest,
-// of those that this round has not found without a worker; nil if there is none.
-func (t *tenant) next(q []*job, round int64) *job {
+// next returns the oldest job of a queue, or the newest, of those that this round of dispatch has
+// not found without a worker; nil if there is none.
+func next(q []*job, newest bool, round int64) *job {
 	for i := range q {
 		j := q[i]
-		if t.over() {
+		if newest {
 			j = q[len(q)-1-i]
 		}
 		if j.blocked != round {
--- a/state.go
+++ b/state.go
@@ -54,23 +54,24 @@
 	parts   [][]*worker   // for roomAt
 	live    []*worker     // the live ones, in the list's order
 	fleetIndex
-	keys     keyLog     // of the last jobs
-	inflight float64    // slots of our jobs in flight
-	waits    int        // attempts sent that have not started, on workers that may be well
-	window   float64    // how many of them the fleet starts without delay
-	usual    mean       // pressure that load reports show
-	fresh    [4]*worker // the last that reported
-	freshAt  int
-	fade     int64    // time in which a load report loses its meaning
-	starts   mean     // delay from sending to the start
-	least    [4]int64 // the least delay, by attempt.way
-	warmRate float64  // slots that each warm worker has at work for us
-	warmNow  float64  // the same, lately
-	served   float64
-	listCall listCall
-	turns    coldstart.Turns // at young workers, where no rate is known
-	light    float64         // the least aim: what a light job stands for there
-	lists    int64           // number of list events
+	keys      keyLog     // of the last jobs
+	inflight  float64    // slots of our jobs in flight,
+	othersOut float64    // and of those that the host sent past this dispatcher
+	waits     int        // attempts sent that have not started, on workers that may be well
+	window    float64    // how many of them the fleet starts without delay
+	usual     mean       // pressure that load reports show
+	fresh     [4]*worker // the last that reported
+	freshAt   int
+	fade      int64    // time in which a load report loses its meaning
+	starts    mean     // delay from sending to the start
+	least     [4]int64 // the least delay, by attempt.way
+	warmRate  float64  // slots that each warm worker has at work for us
+	warmNow   float64  // the same, lately
+	served    float64
+	listCall  listCall
+	turns     coldstart.Turns // at young workers, where no rate is known
+	light     float64         // the least aim: what a light job stands for there
+	lists     int64           // number of list events
 }
 
 // A job is a request that is held, in flight, or ended with attempts still out.
@@ -284,6 +285,10 @@
 	return way
 }
 
+// busy is the slots of all jobs in flight that the window bounds. What the host has sent past this
+// dispatcher fills the fleet as well: a process that has just taken over has few jobs of its own.
+func (d *Dispatcher) busy() float64 { return d.inflight + d.othersOut }
+
 // dials reports whether the next job to a worker needs a new connection.
 func (d *Dispatcher) dials(w *worker) bool {
 	return w.jobs >= w.conns || d.cfg.ConnIdle > 0 && d.now-w.idleAt > d.cfg.ConnIdle
