--- a/internal/platform/caller.go
+++ b/internal/platform/caller.go
@@ -46,6 +46,7 @@
 	stop func() bool // conn no longer ends with ctx
 
 	dialLimit time.Duration
+	limit     callLimit  // of the call that is out
 	reading   func(bool) // what has arrived is about to be read; or nothing more has
 }
 
@@ -75,7 +76,8 @@
 
 // send writes a call; open has succeeded before.
 func (c *caller) send(target string, limit time.Duration) error {
-	c.conn.SetDeadline(time.Now().Add(limit))
+	c.limit = callLimit{end: time.Now().Add(limit)}
+	c.conn.SetDeadline(c.limit.end)
 	_, err := fmt.Fprintf(c.conn, "GET %s HTTP/1.1\r\nHost: %s\r\n\r\n", target, c.addr)
 	return err
 }
@@ -99,7 +101,7 @@
 		return nil, oversizedError{"bytes", bound.bytes}
 	}
 	msg.limit += 2 * int(bound.bytes) // the framing of chunks included
-	body := &bodyReader{body: resp.Body, most: bound.bytes}
+	body := &bodyReader{body: resp.Body, most: bound.bytes, progress: c.extend}
 	l, err := decodeListing(body, bound.entries)
 	switch {
 	case body.err != nil:
@@ -113,13 +115,20 @@
 	return l, nil
 }
 
-// A bodyReader reads a body of a bounded length. It keeps the error with which the reading ended
+// extend gives a list that arrives the time that it takes.
+func (c *caller) extend(bytes int) {
+	c.limit.note(bytes)
+	c.conn.SetReadDeadline(c.limit.deadline(time.Now()))
+}
+
+// A bodyReader reads a body of a bounded length, and tells of each part. It keeps the error with which the reading ended
 // before the body's end: a decoder may word it as bad input.
 type bodyReader struct {
-	body io.Reader
-	most int64 // bytes that it may have
-	read int64
-	err  error
+	body     io.Reader
+	most     int64 // bytes that it may have
+	progress func(bytes int)
+	read     int64
+	err      error
 }
 
 // Read implements io.Reader.
@@ -131,6 +140,9 @@
 	if err != nil && err != io.EOF {
 		r.err = err
 	}
+	if n > 0 {
+		r.progress(n)
+	}
 	return n, err
 }
 
