--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -8,7 +8,6 @@
 package core
 
 import (
-	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -92,8 +91,7 @@
 	endBy    int64           // when what comes now must be answered; 0: no end is near
 	numbered uint64
 	cells    []*cell // one where there is no plan of cells; retired ones behind the plan's
-	known    map[string]*entry
-	order    []*entry // of known, as first told
+	nodeTable
 	assigner *cells.Assigner
 	keys     map[keyIn]int // open jobs by key and cell, where the plan bounds them
 
@@ -108,7 +106,7 @@
 		settings: s, clock: clock, counters: set, seed: seed,
 		inbox: make(chan event, 1024), stopped: make(chan struct{}),
 		jobs: map[uint64]*job{}, open: map[string]*job{}, recent: map[string]bool{},
-		known: map[string]*entry{}, keys: map[keyIn]int{},
+		nodeTable: newNodeTable(), keys: map[keyIn]int{},
 		ids: xsync.NewMap[string, struct{}](),
 	}
 	for _, k := range s.Module.Classes {
@@ -277,49 +275,5 @@
 		c.rehomeAll()
 	}
 	c.prune()
-	live := 0
-	for _, n := range c.known {
-		if n.State == foxlift.Live {
-			live++
-		}
-	}
-	c.ready.Store(live > 0)
-}
-
-// An entry is a node of the machine list.
-type entry struct {
-	foxlift.Worker
-	cell *cell             // whose module decides on it; nil before it was live
-	out  map[*cell]float64 // slots of claims on it that are out, by the cell that sent them
-
-	foreign float64 // slots of claims on it that another process has out
-}
-
-// note takes news of the list into the core's own copy.
-func (c *Core) note(kind foxlift.ListKind, entries []foxlift.Worker) {
-	if kind != foxlift.ListChanges {
-		for _, n := range c.known {
-			n.State = foxlift.Gone
-		}
-	}
-	for _, w := range entries {
-		n := c.known[w.ID]
-		if n == nil {
-			n = &entry{out: map[*cell]float64{}}
-			c.known[w.ID] = n
-			c.order = append(c.order, n)
-		}
-		n.Worker = w
-	}
-}
-
-// prune forgets nodes that are gone, once nothing is out there.
-func (c *Core) prune() {
-	c.order = slices.DeleteFunc(c.order, func(n *entry) bool {
-		if n.State != foxlift.Gone || len(n.out) > 0 {
-			return false
-		}
-		delete(c.known, n.ID)
-		return true
-	})
+	c.ready.Store(c.live > 0)
 }
