foxlift-lab capacity: costs by size, carried to the design's size; its page and its check

Links count what they carry; discovery's stand-in takes entries without a node, finds a host by its name, and can forget old changes.

--- /dev/null
+++ b/internal/lab/capacity/capacity_test.go
@@ -0,0 +1,271 @@
+package capacity
+
+import (
+	"context"
+	"errors"
+	"math"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/prometheus/procfs"
+
+	"github.com/vatu-meals/foxlift/internal/lab/fleet"
+)
+
+// program is the scheduler's binary.
+var program string
+
+func TestMain(m *testing.M) {
+	os.Exit(fleet.RunWithProgram(func(path string) int {
+		program = path
+		return m.Run()
+	}))
+}
+
+// The files of the tree.
+const (
+	treeMeasured = "../../../docs/capacity/measured.json"
+	treePage     = "../../../docs/CAPACITY.md"
+)
+
+// powerLaw is a series with a part that does not grow.
+func powerLaw(fixed, factor, slope float64, sizes ...int) *Series {
+	s := &Series{Name: "s", Of: "things", Unit: "us"}
+	for _, size := range sizes {
+		y := fixed + factor*math.Pow(float64(size), slope)
+		s.addPoint(size, []float64{y, y * 1.1, y * 0.9})
+	}
+	s.fit()
+	return s
+}
+
+func near(t *testing.T, name string, got, want, share float64) {
+	t.Helper()
+	if !(math.Abs(got-want) <= share*math.Abs(want)) {
+		t.Errorf("%s: %v, want %v", name, got, want)
+	}
+}
+
+// A power law is found again, and its crossing of a bound, between the sizes and beyond them.
+func TestSlope(t *testing.T) {
+	s := powerLaw(0, 3, 0.5, 60, 200, 600, 2000, 6000, 19000)
+	near(t, "slope", s.Slope, 0.5, 1e-9)
+	near(t, "spread", s.Points[0].Spread, 0.2, 1e-9)
+	if s.Residual > 1e-6 {
+		t.Errorf("residual %v", s.Residual)
+	}
+	near(t, "at a size", s.at(600), 3*math.Sqrt(600), 1e-9)
+	near(t, "between sizes", s.at(1000), 3*math.Sqrt(1000), 1e-9)
+	near(t, "beyond", s.at(1e6), 3e3, 1e-6)
+	near(t, "bound between", s.sizeAt(3*math.Sqrt(1000)), 1000, 1e-6)
+	near(t, "bound beyond", s.sizeAt(3e3), 1e6, 1e-6)
+	if got := powerLaw(5, 0, 1, 60, 600, 6000).sizeAt(6); !math.IsInf(got, 1) {
+		t.Errorf("a cost that does not grow reaches a bound at %v", got)
+	}
+	// A part that does not grow hides the slope at the small sizes: beyond, the largest ones tell.
+	near(t, "beyond with a fixed part", powerLaw(1000, 1, 1, 10, 100, 1000, 10_000, 100_000).at(1e6), 1e6, 0.3)
+}
+
+// A cost under what the clock can tell has no logarithm: it is left out of the line.
+func TestSlopeLeavesOutZero(t *testing.T) {
+	s := &Series{}
+	for _, p := range []Point{{Size: 10}, {Size: 100}, {Size: 1000, Median: 1}, {Size: 10_000, Median: 10}} {
+		s.addPoint(p.Size, []float64{p.Median})
+	}
+	s.fit()
+	near(t, "slope", s.Slope, 1, 1e-9)
+	near(t, "bound", s.sizeAt(100), 100_000, 1e-6)
+}
+
+// The closed forms and the hollow pools tell the same.
+func TestClosedFormsAndHollowPoolsAgree(t *testing.T) {
+	near(t, "Erlang's loss, 10 erlangs on 10 slots", erlangB(10, 10), 0.2146, 0.001)
+	load := offered(0.9)
+	near(t, "slots in use", load*(1-erlangB(load, poolSlots)), 0.9*poolSlots, 1e-6)
+	urgent, err := measureUrgent(t.Context(), plan{runs: 3, seed: 1})
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, p := range urgent[0].Points[2:] {
+		near(t, "urgent wait", p.Median, urgentWait(float64(p.Size)), 0.2)
+	}
+	gangs, err := measureGangs(t.Context(), plan{runs: 3, seed: 1})
+	if err != nil {
+		t.Fatal(err)
+	}
+	for i, use := range gangUses {
+		for _, p := range gangs[i].Points {
+			if want := gangRoom(float64(use)/100, p.Size); math.Abs(p.Median-want) > 0.1 {
+				t.Errorf("%d %% in use: room for %d in %v of the time, closed form %v", use, p.Size, p.Median, want)
+			}
+		}
+	}
+}
+
+// The page of the tree is what the measurements of the tree give; one changed figure is found.
+func TestPageIsWhatWasMeasured(t *testing.T) {
+	if err := CheckFiles(treePage, treeMeasured); err != nil {
+		t.Fatal(err)
+	}
+	m, err := Load(treeMeasured)
+	if err != nil {
+		t.Fatal(err)
+	}
+	page, err := Page(m)
+	if err != nil {
+		t.Fatal(err)
+	}
+	at := strings.Index(page, "| control_cpu |") + len("| control_cpu | ")
+	changed := page[:at] + string(page[at]+1) + page[at+1:]
+	if err := Check(changed, m); !errors.Is(err, errOff) {
+		t.Errorf("a changed figure: %v", err)
+	}
+	if err := Check(page+"\nmore", m); !errors.Is(err, errOff) {
+		t.Errorf("a longer page: %v", err)
+	}
+	if err := Check(page[:len(page)/2], m); !errors.Is(err, errOff) {
+		t.Errorf("half of the page: %v", err)
+	}
+	for i := range m.Series {
+		if m.Series[i].Name == "list.bytes" {
+			m.Series[i].Points[len(m.Series[i].Points)-1].Median *= 2
+		}
+	}
+	if err := Check(page, m); !errors.Is(err, errOff) {
+		t.Errorf("the page of other measurements: %v", err)
+	}
+}
+
+// A figure that no formula gives, one that is written by hand, and a missing series are named.
+func TestPageWithoutSource(t *testing.T) {
+	m, err := Load(treeMeasured)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := renderPage("It takes 7 s.", m); !errors.Is(err, errNoSource) {
+		t.Errorf("a figure by hand: %v", err)
+	}
+	for _, text := range []string{`{{figure "luck"}}`, `{{table "luck"}}`} {
+		if _, err := renderPage(text, m); !errors.As(err, new(unknownFigureError)) || !strings.Contains(err.Error(), `"luck"`) {
+			t.Errorf("%s: %v", text, err)
+		}
+	}
+	m.Series = m.Series[1:]
+	if _, err := Page(m); !errors.As(err, new(missingError)) {
+		t.Errorf("without a series: %v", err)
+	}
+}
+
+// A file of measurements that is missing, torn or foreign is refused by name.
+func TestLoadRefuses(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "measured.json")
+	if _, err := Load(path); !errors.Is(err, os.ErrNotExist) {
+		t.Errorf("missing: %v", err)
+	}
+	for _, text := range []string{"", "{", "{}", `[1]`, `{"commit":"a","series":[]}`, `{"series":[{"name":"x"}]}`} {
+		if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		if _, err := Load(path); !errors.Is(err, errForeign) || !strings.Contains(err.Error(), path) {
+			t.Errorf("%q: %v", text, err)
+		}
+		if err := CheckFiles(treePage, path); !errors.Is(err, errForeign) {
+			t.Errorf("check of %q: %v", text, err)
+		}
+	}
+	m := &Measured{Commit: "a", Series: []Series{*powerLaw(0, 1, 1, 10, 100)}}
+	if err := m.Save(path); err != nil {
+		t.Fatal(err)
+	}
+	if got, err := Load(path); err != nil || got.Series[0].Slope != m.Series[0].Slope {
+		t.Errorf("%+v, %v", got, err)
+	}
+}
+
+// An unknown dimension is named before anything is measured, and a tool that takes too much of the
+// machine stops.
+func TestRunRefuses(t *testing.T) {
+	if _, err := Run(t.Context(), new(strings.Builder), Options{Dimensions: []string{"workers", "luck"}}); !errors.Is(err, errUnknown) || !strings.Contains(err.Error(), `"luck"`) {
+		t.Errorf("unknown dimension: %v", err)
+	}
+	r := &Result{Machine: 1 << 20}
+	if err := r.noteMemory(); !errors.Is(err, errMemory) {
+		t.Errorf("on a machine of 1 MB: %v", err)
+	}
+}
+
+// A short run measures all dimensions, and its last line tells all that the page rests on.
+func TestShortRun(t *testing.T) {
+	var out strings.Builder
+	r, err := Run(t.Context(), &out, Options{Short: true, Program: program, Seed: 1})
+	if err != nil {
+		t.Fatalf("%v\n%s", err, &out)
+	}
+	if line := r.Line(); !strings.Contains(line, "dimensions 8") || strings.Contains(line, "not known") {
+		t.Error(line)
+	}
+	for i := range r.Series {
+		if len(r.Series[i].Points) < 3 {
+			t.Errorf("%s: %d sizes", r.Series[i].Name, len(r.Series[i].Points))
+		}
+	}
+}
+
+// A run that is interrupted ends its processes.
+func TestInterruptedRunEndsItsProcesses(t *testing.T) {
+	ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+	defer cancel()
+	if _, err := measureControl(ctx, plan{short: true, runs: 1}, program); !errors.Is(err, context.DeadlineExceeded) {
+		t.Errorf("ended with %v", err)
+	}
+	procs, err := procfs.AllProcs()
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, p := range procs {
+		stat, err := p.Stat()
+		if err == nil && stat.PPID == os.Getpid() && stat.Comm == "foxlift" {
+			t.Errorf("process %d is left", stat.PID)
+		}
+	}
+}
+
+// Starts with a list that was kept take the changes since, whatever else happens to the file and to
+// discovery take the whole list; both come to the list as it is. Without a list each start takes all.
+func TestStartsWithAKeptList(t *testing.T) {
+	o := FaultsOptions{Program: program, Seed: 2, Workers: 2000, Starts: 12}
+	var out strings.Builder
+	with, err := o.Run(t.Context(), &out)
+	if err != nil {
+		t.Fatalf("%v\n%s", err, &out)
+	}
+	if !with.OK() || with.Used < 3 || with.Used == with.Starts {
+		t.Errorf("%s\n%s", with.Line(), &out)
+	}
+	o.Without, o.Starts = true, 3
+	without, err := o.Run(t.Context(), &out)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if without.Used > 0 || without.OtherBytes < 10*with.UsedBytes {
+		t.Errorf("with: %s\nwithout: %s", with.Line(), without.Line())
+	}
+}
+
+// The judge sees a start that took the whole list though one was kept, and one that took too much.
+func TestFaultsAreJudged(t *testing.T) {
+	for name, r := range map[string]*FaultsResult{
+		"over its bound": {Used: 1, Over: []string{"1"}}, "not used": {Used: 1, Unused: 1}, "used wrongly": {Used: 1, Wrongly: 1},
+		"nothing kept": {}, "bad end": {Used: 1, unended: true},
+	} {
+		if r.OK() {
+			t.Errorf("%s: OK", name)
+		}
+	}
+	if r := (&FaultsResult{Used: 1}); !r.OK() {
+		t.Error("nothing happened, and it is not OK")
+	}
+}
--- /dev/null
+++ b/internal/lab/capacity/clock.go
@@ -0,0 +1,23 @@
+package capacity
+
+import "time"
+
+// runsADimension is how many times each size is measured.
+const runsADimension = 5
+
+// leastTimed is how long a repeated step is timed at least.
+const leastTimed = 4 * time.Millisecond
+
+// timeEach returns the nanoseconds that one call of a step takes, in several runs.
+func timeEach(runs int, step func()) (took []float64) {
+	step() // what is made once, at the first call, is no part of it
+	for range runs {
+		n, began := 0, time.Now()
+		for time.Since(began) < leastTimed {
+			step()
+			n++
+		}
+		took = append(took, float64(time.Since(began).Nanoseconds())/float64(n))
+	}
+	return took
+}
--- /dev/null
+++ b/internal/lab/capacity/run.go
@@ -0,0 +1,149 @@
+package capacity
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"math"
+	"os/exec"
+	"runtime"
+	"strings"
+	"time"
+
+	"github.com/prometheus/procfs"
+)
+
+// Options say what a run measures.
+type Options struct {
+	Dimensions []string // none: all
+	Short      bool     // few and small sizes
+	Program    string   // the scheduler's binary, for the dimension control
+	Seed       uint64
+}
+
+// A Result is what a run has measured, and what it took.
+type Result struct {
+	Measured
+	Dimensions int
+	Memory     float64 // bytes that the tool had at most
+	Machine    float64 // bytes of the machine's memory
+	Processes  int     // that ran at a time
+}
+
+// memoryPart is the part of the machine's memory that the tool may take.
+const memoryPart = 2
+
+// errMemory says that the tool would take too much of the machine's memory.
+var errMemory = errors.New("the machine's memory would not do: over half of it would be taken")
+
+// Run measures. It ends what it has started, also when ctx ends.
+func Run(ctx context.Context, out io.Writer, o Options) (*Result, error) {
+	chosen, err := choose(o.Dimensions)
+	if err != nil {
+		return nil, err
+	}
+	r := &Result{Measured: Measured{Commit: commit(), Short: o.Short}, Dimensions: len(chosen)}
+	if r.Machine, err = machineMemory(); err != nil {
+		return nil, err
+	}
+	p := plan{short: o.Short, runs: runsADimension, seed: o.Seed}
+	for _, name := range chosen {
+		began := time.Now()
+		series, err := measure(ctx, name, p, o.Program)
+		if err != nil {
+			return nil, err
+		}
+		if name == controlDimension {
+			r.Processes = len(variants) * len(series[0].Points)
+		}
+		r.Series = append(r.Series, series...)
+		for i := range series {
+			fmt.Fprintln(out, series[i].line())
+		}
+		fmt.Fprintf(out, "%s: %.1f s\n", name, time.Since(began).Seconds())
+		if err := r.noteMemory(); err != nil {
+			return nil, err
+		}
+	}
+	return r, nil
+}
+
+// measure runs one dimension.
+func measure(ctx context.Context, name string, p plan, program string) ([]Series, error) {
+	if name == controlDimension {
+		return measureControl(ctx, p, program)
+	}
+	for _, d := range dimensions {
+		if d.name == name {
+			return d.measure(ctx, p)
+		}
+	}
+	return nil, fmt.Errorf("%w %q", errUnknown, name)
+}
+
+// line tells a series in one line.
+func (s *Series) line() string {
+	var points []string
+	for _, p := range s.Points {
+		points = append(points, fmt.Sprintf("%d: %.4g", p.Size, p.Median))
+	}
+	return fmt.Sprintf("%-26s %-40s slope %5.2f, residual %4.1f %% (%s by %s)", s.Name, strings.Join(points, ", "), s.Slope, s.Residual, s.Unit, s.Of)
+}
+
+// noteMemory notes what the tool has taken, and fails where that is too much.
+func (r *Result) noteMemory() error {
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	r.Memory = max(r.Memory, float64(m.Sys))
+	if r.Memory > r.Machine/memoryPart {
+		return fmt.Errorf("%w: %.1f of %.1f GB", errMemory, gigabytes(r.Memory), gigabytes(r.Machine))
+	}
+	return nil
+}
+
+// Line is the run's last line.
+func (r *Result) Line() string {
+	worst, slopes := 0.0, 0
+	for i := range r.Series {
+		if r.Series[i].Slope != 0 {
+			slopes++
+			worst = max(worst, r.Series[i].Residual)
+		}
+	}
+	carried, lines, wall := "-", "-", "not known, since not all was measured"
+	if t, err := newTarget(&r.Measured); err == nil {
+		w := t.wall()
+		carried, lines = fmt.Sprint(t.carried()), fmt.Sprint(len(t.lines))
+		wall = fmt.Sprintf("%s at %.3g of the target", w.Name, w.Fraction)
+	}
+	return fmt.Sprintf("capacity: dimensions %d, slopes %d (worst residual %.1f %%), lines carried %s of %s, first wall %s, memory %.1f GB of %.1f, processes %d",
+		r.Dimensions, slopes, worst, carried, lines, wall, gigabytes(r.Memory), gigabytes(r.Machine), r.Processes)
+}
+
+func gigabytes(bytes float64) float64 { return bytes / math.Pow(bytesOfAKilobyte, 3) }
+
+// machineMemory returns the machine's memory in bytes.
+func machineMemory() (float64, error) {
+	fs, err := procfs.NewDefaultFS()
+	if err != nil {
+		return 0, err
+	}
+	info, err := fs.Meminfo()
+	if err != nil {
+		return 0, err
+	}
+	if info.MemTotalBytes == nil {
+		return 0, errors.New("the machine does not tell its memory")
+	}
+	return float64(*info.MemTotalBytes), nil
+}
+
+// commit names the tree that is measured; "unknown" outside of a checkout.
+func commit() string {
+	out, err := exec.Command("git", "rev-parse", "--short", "HEAD").Output()
+	if err != nil {
+		return "unknown"
+	}
+	return strings.TrimSpace(string(out))
+}
--- /dev/null
+++ b/internal/lab/capacity/schedulers.go
@@ -0,0 +1,62 @@
+package capacity
+
+import (
+	"context"
+	"math"
+	"math/rand/v2"
+	"time"
+
+	"github.com/vatu-meals/foxlift/internal/coldstart"
+)
+
+// Discovery's calls are counted on a virtual clock, with the scheduler's own pauses and waits. A call
+// is answered at once: what discovery can bear is not ours to know.
+const (
+	watchedFor  = 2 * time.Minute
+	startsEvery = 10 // a start is counted in seconds; this many are drawn for each run
+)
+
+// measureSchedulers measures the calls that all schedulers together make to discovery.
+func measureSchedulers(ctx context.Context, p plan) ([]Series, error) {
+	rng := rand.New(rand.NewPCG(p.seed, 1))
+	each := func(count func(schedulers int, rng *rand.Rand) float64) func(int) ([]float64, error) {
+		return func(schedulers int) (runs []float64, _ error) {
+			for range p.runs {
+				runs = append(runs, count(schedulers, rng))
+			}
+			return runs, nil
+		}
+	}
+	return bySize(ctx, "schedulers", p.sizes(30, 60, 100, 200, 300, 600, 1000),
+		gauge{"discovery.watch_calls", "calls/s", each(watchCalls)},
+		gauge{"discovery.start_peak", "calls/s", each(startPeak)},
+	)
+}
+
+// watchCalls returns the calls a second of schedulers that watch a list that does not change.
+func watchCalls(schedulers int, rng *rand.Rand) float64 {
+	calls := 0
+	for range schedulers {
+		asker := coldstart.NewAsker(schedulers, 0, rng)
+		for at := time.Duration(0); at < watchedFor; at += asker.Wait() {
+			calls++
+		}
+	}
+	return float64(calls) / watchedFor.Seconds()
+}
+
+// startPeak returns the calls in the worst second after all schedulers have started at once.
+func startPeak(schedulers int, rng *rand.Rand) float64 {
+	worst := 0.0
+	for range startsEvery {
+		seconds := map[int]int{}
+		most := 0
+		for range schedulers {
+			second := int(math.Floor(coldstart.NewAsker(schedulers, 0, rng).First().Seconds()))
+			seconds[second]++
+			most = max(most, seconds[second])
+		}
+		worst = max(worst, float64(most))
+	}
+	return worst
+}
--- a/internal/lab/fleet/build.go
+++ b/internal/lab/fleet/build.go
@@ -16,11 +16,20 @@
 		return 1
 	}
 	defer os.RemoveAll(dir)
-	program := filepath.Join(dir, "foxlift")
-	out, err := exec.Command("go", "build", "-o", program, "github.com/vatu-meals/foxlift/cmd/foxlift").CombinedOutput()
+	program, err := Build(dir)
 	if err != nil {
-		fmt.Fprintf(os.Stderr, "go build: %v\n%s", err, out)
+		fmt.Fprintln(os.Stderr, err)
 		return 1
 	}
 	return run(program)
 }
+
+// Build builds the scheduler into a folder and returns the binary's path.
+func Build(dir string) (program string, err error) {
+	program = filepath.Join(dir, "foxlift")
+	out, err := exec.Command("go", "build", "-o", program, "github.com/vatu-meals/foxlift/cmd/foxlift").CombinedOutput()
+	if err != nil {
+		return "", fmt.Errorf("go build: %w\n%s", err, out)
+	}
+	return program, nil
+}
--- a/internal/lab/fleet/fleet.go
+++ b/internal/lab/fleet/fleet.go
@@ -27,6 +27,7 @@
 	PodWindow time.Duration // in which pods really drop repeats; 0: as the settings say
 	NodeLinks bool          // a link between each scheduler and each node: only for small fleets
 	Admin     bool          // each process has a second address, for its operators
+	Operator  string        // text of each process's operator's file, with %s for a path of its own; "": none
 }
 
 // A Fleet is the running processes and what they meet.
@@ -204,6 +205,13 @@
 		}
 		p.env = append(p.env, "LB_NAME="+view, "LB_DISCOVERY="+link.Addr().String(), "TMPDIR="+f.dir, adminVariable+p.Admin)
 	}
+	if f.Operator != "" {
+		operator := filepath.Join(f.dir, view+".sexp")
+		p.Kept, p.args = filepath.Join(f.dir, view+".kept"), []string{"serve", "--operator", operator}
+		if err := os.WriteFile(operator, fmt.Appendf(nil, f.Operator, p.Kept), 0o600); err != nil {
+			return err
+		}
+	}
 	f.Processes = append(f.Processes, p)
 	return f.Configure(i, f.Discovery.KnownAt(f.dial(i)))
 }
--- a/internal/lab/fleet/link.go
+++ b/internal/lab/fleet/link.go
@@ -30,6 +30,7 @@
 	changed chan struct{} // closed and replaced at each change
 	open    map[net.Conn]bool
 	closed  bool
+	carried [2]int64 // bytes that each way has passed on
 	wait    sync.WaitGroup
 }
 
@@ -71,6 +72,19 @@
 	l.change(func() { l.refuses, l.silent, l.delay, l.rate = false, [2]bool{}, [2]time.Duration{}, 0 })
 }
 
+// Carried returns how many bytes a way has passed on.
+func (l *Link) Carried(way Way) int64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.carried[way]
+}
+
+func (l *Link) count(way Way, bytes int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.carried[way] += int64(bytes)
+}
+
 // Reset ends the open connections with a reset; new ones are taken.
 func (l *Link) Reset() {
 	l.mu.Lock()
@@ -159,6 +173,7 @@
 			if _, err := to.Write(buf[:n]); err != nil {
 				return
 			}
+			l.count(way, n)
 		}
 		if err != nil {
 			if !errors.Is(err, io.EOF) { // a reset is passed on as one, if anything is
--- a/internal/lab/fleet/process.go
+++ b/internal/lab/fleet/process.go
@@ -21,8 +21,10 @@
 	Name  string
 	Addr  string // where submitters reach it
 	Admin string // where its operators reach it; "": nowhere
+	Kept  string // path of its own that its operator's file has; "": there is no such file
 
 	program string
+	args    []string
 	env     []string
 
 	mu       sync.Mutex
@@ -45,7 +47,7 @@
 	if p.cmd != nil {
 		return fmt.Errorf("%s is running", p.Name)
 	}
-	cmd := exec.Command(p.program)
+	cmd := exec.Command(p.program, p.args...)
 	cmd.Env = append(os.Environ(), p.env...)
 	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL} // none stays when the rig itself is killed
 	out, err := cmd.StderrPipe()
@@ -144,6 +146,9 @@
 	return p.cmd.Process.Pid
 }
 
+// End ends the process with SIGTERM and waits for its end.
+func (p *Process) End() error { return p.end() }
+
 // end ends the process with SIGTERM and waits for its end.
 func (p *Process) end() error {
 	if p.Signal(syscall.SIGTERM) != nil {
--- a/internal/standin/discovery.go
+++ b/internal/standin/discovery.go
@@ -46,7 +46,9 @@
 
 	mu      sync.Mutex
 	seq     int
+	oldest  int // version before which changes are no longer known
 	hosts   []host
+	places  map[string]int // of each host in hosts
 	at      map[string]int // the version in which each host last changed, also those that left
 	changed chan struct{}
 	calls   Calls
@@ -65,7 +67,7 @@
 
 func DiscoveryOn(l net.Listener, nodes ...*Node) *Discovery {
 	d := &Discovery{
-		changed: make(chan struct{}), turn: make(chan struct{}, 1), at: map[string]int{},
+		changed: make(chan struct{}), turn: make(chan struct{}, 1), at: map[string]int{}, places: map[string]int{},
 		seconds: map[int64]int{}, first: map[string]time.Time{},
 	}
 	for _, n := range nodes {
@@ -93,28 +95,66 @@
 	if !n.Started.IsZero() {
 		h.Born = n.Started.UnixMilli()
 	}
+	d.tell(h)
+}
+
+// An Entry is a host of the list behind which there is no node, as hollow fleets have them.
+type Entry struct {
+	Host, Dial, Zone, Kind string
+	Health                 string // active, leaving, or left
+	Born                   time.Time
+}
+
+// Tell says how hosts without a node are, all in one change of the list.
+func (d *Discovery) Tell(entries ...Entry) {
+	hosts := make([]host, len(entries))
+	for i, e := range entries {
+		hosts[i] = host{Host: e.Host, Dial: e.Dial, Zone: e.Zone, Kind: e.Kind, Health: e.Health, Share: 1}
+		if !e.Born.IsZero() {
+			hosts[i].Born = e.Born.UnixMilli()
+		}
+	}
+	d.tell(hosts...)
+}
+
+// tell takes hosts into the list, in one change of it.
+func (d *Discovery) tell(hosts ...host) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	at := len(d.hosts)
-	for i := range d.hosts {
-		if d.hosts[i].Host == h.Host {
-			at = i
+	d.seq++
+	for _, h := range hosts {
+		at, there := d.places[h.Host]
+		switch {
+		case h.Health == "left" && there:
+			d.drop(at)
+		case there:
+			d.hosts[at] = h
+		default:
+			d.places[h.Host] = len(d.hosts)
+			d.hosts = append(d.hosts, h)
 		}
+		d.at[h.Host] = d.seq
 	}
-	switch {
-	case health == "left" && at < len(d.hosts):
-		d.hosts = append(d.hosts[:at:at], d.hosts[at+1:]...)
-	case at < len(d.hosts):
-		d.hosts[at] = h
-	default:
-		d.hosts = append(d.hosts, h)
-	}
-	d.seq++
-	d.at[h.Host] = d.seq
 	close(d.changed)
 	d.changed = make(chan struct{})
 }
 
+// drop takes a host out of the list.
+func (d *Discovery) drop(at int) {
+	delete(d.places, d.hosts[at].Host)
+	d.hosts = append(d.hosts[:at:at], d.hosts[at+1:]...)
+	for i := at; i < len(d.hosts); i++ {
+		d.places[d.hosts[i].Host] = i
+	}
+}
+
+// Compact forgets the changes so far: who asks for those since an older version gets the whole list.
+func (d *Discovery) Compact() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.oldest = d.seq
+}
+
 // GoBack gives the list a lower version, as a discovery does that has lost what it wrote last.
 func (d *Discovery) GoBack(version int) {
 	d.mu.Lock()
@@ -172,7 +212,7 @@
 func (d *Discovery) since(version int, dial func(host, addr string) string) list {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	l := list{Version: d.seq, Whole: version <= 0 || version > d.seq, Hosts: []host{}}
+	l := list{Version: d.seq, Whole: version <= 0 || version > d.seq || version < d.oldest, Hosts: []host{}}
 	here := map[string]bool{}
 	for _, h := range d.hosts {
 		here[h.Host] = true
