--- a/internal/lab/fleet/fleet.go
+++ b/internal/lab/fleet/fleet.go
@@ -12,6 +12,7 @@
 	"path/filepath"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/vatu-meals/foxlift/internal/lab"
@@ -192,7 +193,7 @@
 		return err
 	}
 	f.Links = append(f.Links, link)
-	addr, err := freeAddr(i)
+	addr, err := freeAddr()
 	if err != nil {
 		return err
 	}
@@ -200,7 +201,7 @@
 	path := filepath.Join(f.dir, view+".json")
 	p.env = []string{"LB_CONFIG=" + path, "LB_LISTEN=" + addr}
 	if f.Admin {
-		if p.Admin, err = freeAddr(i); err != nil {
+		if p.Admin, err = freeAddr(); err != nil {
 			return err
 		}
 		p.env = append(p.env, "LB_NAME="+view, "LB_DISCOVERY="+link.Addr().String(), "TMPDIR="+f.dir, adminVariable+p.Admin)
@@ -248,10 +249,14 @@
 	return f.Configure(i, f.Discovery.KnownAt(f.dial(i)))
 }
 
-// freeAddr finds an address on loopback that nothing uses: each process has an IP address
-// of its own, so that no outgoing connection takes its port while it is down.
-func freeAddr(i int) (string, error) {
-	l, err := net.Listen("tcp", fmt.Sprintf("127.7%d.%d.%d:0", os.Getpid()%10, i/250, i%250+1))
+// addresses counts the addresses that were given out.
+var addresses atomic.Int64
+
+// freeAddr finds an address on loopback that nothing uses: each call has an IP address of its own, so
+// that no outgoing connection and no other fleet takes its port while nobody listens there.
+func freeAddr() (string, error) {
+	n := addresses.Add(1)
+	l, err := net.Listen("tcp", fmt.Sprintf("127.7%d.%d.%d:0", os.Getpid()%10, n/250%250, n%250+1))
 	if err != nil {
 		return "", err
 	}
--- a/internal/lab/fleet/successor.go
+++ b/internal/lab/fleet/successor.go
@@ -9,7 +9,7 @@
 // upgrade: the configuration, the environment and the folder for temporary files are the same,
 // and only the operators' address is another one. It needs Options.Admin.
 func (f *Fleet) Successor(i int) (*Process, error) {
-	admin, err := freeAddr(i)
+	admin, err := freeAddr()
 	if err != nil {
 		return nil, err
 	}
