Names of the field in the decision module: largeFleet, fleetScale, eject, burstTokens, overQuotaSends, path

Renamed, nothing else: many, crowd, shut, light, spare, spareMax, past, way, wayTo, pastWay, fulls, most. The state that upgrades hand over keeps its keys, so that versions beside each other read it.

--- a/admission.go
+++ b/admission.go
@@ -60,7 +60,7 @@
 )
 
 // unaware says that this is one of a few dispatchers, and that it does not know of the others' jobs.
-func (d *Dispatcher) unaware() bool { return !d.many() && !d.knows() }
+func (d *Dispatcher) unaware() bool { return !d.largeFleet() && !d.knows() }
 
 // holdLimit is how old a job may become that is held. That of a tenant over its
 // share is told early: what it sends past the share is nearly worthless, and a
@@ -86,7 +86,7 @@
 // stands for its own work has fetches and slow machines in it: what is wanted of a light job is
 // less, and many dispatchers have no queue to spare for those that fail it.
 func (d *Dispatcher) timely(j *job) int64 {
-	if !d.many() || j.req.Size > 0 {
+	if !d.largeFleet() || j.req.Size > 0 {
 		return j.wanted
 	}
 	return j.class.Aim + int64(j.class.Stretch*float64(j.class.quick))
--- a/attempts.go
+++ b/attempts.go
@@ -78,14 +78,14 @@
 
 func (d *Dispatcher) send(j *job, w *worker) {
 	a := &attempt{job: j, worker: w, number: len(j.attempts), sent: d.now, slots: j.req.Slots, index: len(d.out)}
-	a.way = d.wayTo(w)
+	a.path = d.pathTo(w)
 	j.attempts = append(j.attempts, a)
 	d.out = append(d.out, a)
 	j.out++
 	if j.mayRan == nil {
 		j.mayRan = a // until its outcome proves otherwise
 	}
-	if d.many() && d.cfg.StartNotes {
+	if d.largeFleet() && d.cfg.StartNotes {
 		if a.waits = j.class.Effect == AtMostOnce; a.waits {
 			d.waits++
 		}
@@ -167,7 +167,7 @@
 			a.late = true
 			j.class.sample(lateRatio)
 		}
-		if d.many() && a.started == 0 && !j.ended && j.class.Effect == Idempotent &&
+		if d.largeFleet() && a.started == 0 && !j.ended && j.class.Effect == Idempotent &&
 			d.now-j.born >= d.timely(j)-j.class.median {
 			// It can no more be in time: started late, it would make the next ones late.
 			d.giveUp(j, d.comeBack())
--- a/bench_test.go
+++ b/bench_test.go
@@ -50,7 +50,7 @@
 			d := benchRig(b, size.workers, 8)
 			now := 2 * second
 			for _, w := range d.list {
-				w.shut = 1 << 62
+				w.ejectedUntil = 1 << 62
 				d.place(w)
 			}
 			var news []Event
--- a/dispatch_order.go
+++ b/dispatch_order.go
@@ -12,8 +12,8 @@
 	d.sendAgain()
 	for d.sendNext(true) {
 	}
-	for (d.open || d.spare >= 1) && d.busy() < d.window && d.sendNext(false) {
-		d.spare = max(0, d.spare-1)
+	for (d.open || d.burstTokens >= 1) && d.busy() < d.window && d.sendNext(false) {
+		d.burstTokens = max(0, d.burstTokens-1)
 	}
 }
 
@@ -52,7 +52,7 @@
 		most := math.Inf(-1)
 		for i := range d.tenants {
 			t := &d.tenants[i]
-			rank := -t.past
+			rank := -t.overQuotaSends
 			if within {
 				rank = t.tokens / t.burst()
 			}
@@ -67,7 +67,7 @@
 			if within {
 				best.tokens--
 			} else {
-				best.past++
+				best.overQuotaSends++
 			}
 			return true
 		}
--- a/dispatcher.go
+++ b/dispatcher.go
@@ -10,8 +10,8 @@
 // does alone is harmful where all do it, and each sees little: see docs/design/fleet.md.
 const few = 4.0
 
-// many says that there are more dispatchers than a few.
-func (d *Dispatcher) many() bool { return d.crowd > 1 }
+// largeFleet says that more dispatchers share the fleet than learn enough from their own jobs.
+func (d *Dispatcher) largeFleet() bool { return d.fleetScale > 1 }
 
 // Step takes the events since the last step and returns what to do. The time
 // must not go back (an earlier one counts as the last). The actions are valid
--- a/dispatcher_test.go
+++ b/dispatcher_test.go
@@ -857,16 +857,16 @@
 	r.step(r.request(1, 0))
 	r.want(ActionSend, 1)
 	r.after(ms, outcome(1, 0, "w0", Erred))
-	if w.shut <= r.now {
+	if w.ejectedUntil <= r.now {
 		t.Error("not shut")
 	}
-	w.shut, w.trial = 0, false
+	w.ejectedUntil, w.trial = 0, false
 	for i := range 8 {
 		w.failing = 0.1 * float64(i)
 		a := &attempt{job: &job{class: &r.d.classes[0]}, worker: w, slots: 1}
 		r.d.release(a, &Event{Code: Erred})
 	}
-	if w.shut <= r.now {
+	if w.ejectedUntil <= r.now {
 		t.Error("a run of errors does not shut it")
 	}
 }
@@ -876,14 +876,14 @@
 	r := newRig(t, testConfig(), fleet(1)...)
 	r.step(r.request(1, 1))
 	r.after(ms, outcome(1, 0, "w0", Full))
-	first := r.d.list[0].shut - r.now
+	first := r.d.list[0].ejectedUntil - r.now
 	r.step(r.request(2, 1))
 	r.want(ActionSend, 0)
 	for range 3 {
 		a := &attempt{job: &job{class: &r.d.classes[1]}, worker: r.d.list[0], slots: 1}
 		r.d.release(a, &Event{Code: Full})
 	}
-	if again := r.d.list[0].shut - r.now; first <= 0 || again <= first {
+	if again := r.d.list[0].ejectedUntil - r.now; first <= 0 || again <= first {
 		t.Errorf("left alone for %d, after more refusals for %d", first, again)
 	}
 }
@@ -990,11 +990,11 @@
 
 func TestOpenLoopNeedsNoTokens(t *testing.T) {
 	r := newRig(t, testConfig(), fleet(5)...)
-	r.d.tenants[0].tokens, r.d.tenants[0].rate, r.d.spare = 0, 0, 0
+	r.d.tenants[0].tokens, r.d.tenants[0].rate, r.d.burstTokens = 0, 0, 0
 	r.d.open = true
 	r.step(r.request(1, 0))
 	r.want(ActionSend, 1)
-	r.d.tenants[0].tokens, r.d.spare, r.d.spareMax, r.d.open = 0, 0, 0, false
+	r.d.tenants[0].tokens, r.d.burstTokens, r.d.burstRate, r.d.open = 0, 0, 0, false
 	r.step(r.request(2, 0))
 	r.want(ActionSend, 0)
 }
--- a/fair_share.go
+++ b/fair_share.go
@@ -45,7 +45,7 @@
 		t := &d.tenants[i]
 		t.offered += (float64(t.arrived) - t.offered) * rateGain
 		t.arrived = 0
-		t.past *= 1 - rateGain
+		t.overQuotaSends *= 1 - rateGain
 		for k := range t.classes {
 			t.classes[k].came *= 1 - rateGain/3
 			t.classes[k].sent *= 1 - rateGain/3
@@ -58,13 +58,13 @@
 	for i := range d.tenants {
 		t := &d.tenants[i]
 		t.rate = rates[i] * part * standing
-		if t.margin = 0; d.many() {
+		if t.margin = 0; d.largeFleet() {
 			// A single job is over a rate of one in ten seconds, by chance: offered
 			// strays by this from the rate of a tenant within its share.
 			t.margin = 3 * math.Sqrt(t.rate*rateGain/(2-rateGain))
 		}
 	}
-	d.spareMax = past * part
+	d.burstRate = past * part
 }
 
 // standing is the share of the fleet that is left after workers were lost: gone
@@ -120,9 +120,9 @@
 		t.tokens += t.rate * dt
 		if over := t.tokens - t.burst(); over > 0 {
 			t.tokens -= over
-			d.spare += over
+			d.burstTokens += over
 		}
 	}
-	d.spare += d.spareMax * dt
-	d.spare = min(d.spare, max(1, d.offered/4))
+	d.burstTokens += d.burstRate * dt
+	d.burstTokens = min(d.burstTokens, max(1, d.offered/4))
 }
--- a/fleet_index.go
+++ b/fleet_index.go
@@ -80,7 +80,9 @@
 }
 
 // timed reports whether time alone may move a worker.
-func (d *Dispatcher) timed(w *worker) bool { return w.state == Live && (d.now < w.shut || d.young(w)) }
+func (d *Dispatcher) timed(w *worker) bool {
+	return w.state == Live && (d.now < w.ejectedUntil || d.young(w))
+}
 
 // sortPending puts the pending workers into the order of the list.
 func (d *Dispatcher) sortPending() {
--- a/fleet_test.go
+++ b/fleet_test.go
@@ -55,7 +55,7 @@
 		r.step(r.request(id, 0))
 		sent := r.want(ActionSend, 1)[0]
 		r.after(40*ms, started(id, 0, sent.Worker)) // 3 ticks
-		if got := r.d.least[r.d.jobs[id].attempts[0].way]; got != 40*ms {
+		if got := r.d.least[r.d.jobs[id].attempts[0].path]; got != 40*ms {
 			t.Errorf("the way takes %d", got)
 		}
 		if w := r.d.workers[sent.Worker]; w.good == 0 || w.bad != 0 || r.d.window < 1 {
@@ -119,7 +119,7 @@
 		a := r.want(ActionSend, 1)[0]
 		r.after(ms, started(1, 0, a.Worker))
 		r.after(ms, outcome(1, 0, a.Worker, Erred))
-		if w := r.d.workers[a.Worker]; (w.shut > r.now) != shut {
+		if w := r.d.workers[a.Worker]; (w.ejectedUntil > r.now) != shut {
 			t.Errorf("%d dispatchers: left alone %v", dispatchers, !shut)
 		}
 	}
@@ -131,12 +131,12 @@
 	w := r.d.list[0]
 	before := int64(0)
 	for id := uint64(1); id <= 4; id++ {
-		r.now = max(r.now, w.shut) + r.d.tick
+		r.now = max(r.now, w.ejectedUntil) + r.d.tick
 		r.step(r.request(id, 0))
 		r.want(ActionSend, 1)
 		r.after(ms, started(id, 0, w.id))
 		r.after(ms, outcome(id, 0, w.id, Erred))
-		if pause := w.shut - r.now; pause < second || w.backoff < 2*before {
+		if pause := w.ejectedUntil - r.now; pause < second || w.backoff < 2*before {
 			t.Errorf("error %d: left alone for %d, backoff %d after %d", id, pause, w.backoff, before)
 		}
 		before = w.backoff
--- a/health.go
+++ b/health.go
@@ -20,7 +20,7 @@
 func (d *Dispatcher) learnStart(a *attempt) {
 	w, delay := a.worker, d.now-a.sent
 	d.starts.add(float64(delay))
-	if delay = d.pastWay(a, delay); delay < d.tick {
+	if delay = d.beyondLeastDelay(a, delay); delay < d.tick {
 		w.good = d.now
 	} else {
 		w.bad = d.now
@@ -29,7 +29,7 @@
 	a.heardOf()
 	d.learnRoom(w, late)
 	if !late {
-		w.fulls = 0
+		w.refusalsInARow = 0
 		if w.failing <= failingMost {
 			w.trial, w.backoff = false, 0 // one that fails what it starts shows its health at the end
 		}
@@ -47,7 +47,7 @@
 // learnRoom moves the worker's cap and the fleet's window after an answer.
 func (d *Dispatcher) learnRoom(w *worker, late bool) {
 	defer d.recountCap(w)
-	gain := windowGain * min(d.crowd, 8) // each of many sees fewer starts
+	gain := windowGain * min(d.fleetScale, 8) // each of many sees fewer starts
 	if late {
 		w.cap, w.capped = max(1, min(w.cap, w.own)-0.5), true
 		d.window = max(1, min(d.window, 2*d.busy())*(1-gain))
@@ -88,7 +88,7 @@
 			d.served += a.slots * float64(run) / float64(second)
 		}
 		w.trial, w.backoff = false, 0
-		if d.many() {
+		if d.largeFleet() {
 			d.heard(w) // a slot has just come free there, on a connection that stays open
 		}
 		if !d.cfg.StartNotes {
@@ -99,23 +99,23 @@
 		d.pause(w, j)
 	case Unreachable:
 		w.conns = w.jobs
-		d.shut(w)
+		d.eject(w)
 	case Erred, Reset:
 		// One error is chance; a run of them is a worker that empties its count
 		// fast and so would draw every job. Of many dispatchers each meets a worker
 		// seldom: it cannot wait for a run.
-		w.failing += (1 - w.failing) * min(0.2*d.crowd, 0.5)
+		w.failing += (1 - w.failing) * min(0.2*d.fleetScale, 0.5)
 		if w.failing > failingMost || w.trial {
-			d.shut(w)
+			d.eject(w)
 		}
 		if w.failing < failingMost && !a.late {
 			j.class.sample(lateRatio)
 		}
 	case TimedOut, Cancelled:
-		if a.started == 0 && d.many() && w.fulls < 2 && d.now-a.sent < j.wanted/4 {
+		if a.started == 0 && d.largeFleet() && w.refusalsInARow < 2 && d.now-a.sent < j.wanted/4 {
 			d.pause(w, j) // it was moved early: the worker has a queue, or hangs
 		} else if a.started == 0 {
-			d.shut(w)
+			d.eject(w)
 		}
 	}
 	d.place(w)
@@ -124,22 +124,22 @@
 // pause keeps jobs from a worker that has no room now: by our count it looks free, and
 // would draw the next one.
 func (d *Dispatcher) pause(w *worker, j *job) {
-	w.fulls = min(w.fulls+1, 3)
-	pause := j.class.median / 8 << w.fulls
+	w.refusalsInARow = min(w.refusalsInARow+1, 3)
+	pause := j.class.median / 8 << w.refusalsInARow
 	w.bad = d.now
-	w.shut = d.now + pause/2 + d.rng.Int64N(pause/2+1)
+	w.ejectedUntil = d.now + pause/2 + d.rng.Int64N(pause/2+1)
 }
 
-// shut keeps jobs from a worker for a while that doubles each time, then lets
+// eject keeps jobs from a worker for a while that doubles each time, then lets
 // one job try it.
-func (d *Dispatcher) shut(w *worker) {
+func (d *Dispatcher) eject(w *worker) {
 	least := int64(d.starts.avg + 4*d.starts.dev)
-	if d.many() {
+	if d.largeFleet() {
 		least = max(least, second)
 	}
 	// Trials add up over the dispatchers.
-	w.backoff = min(max(2*w.backoff, least, d.tick), 4*int64(min(d.crowd, 4))*second)
-	w.shut = d.now + w.backoff + d.rng.Int64N(w.backoff/2+1)
+	w.backoff = min(max(2*w.backoff, least, d.tick), 4*int64(min(d.fleetScale, 4))*second)
+	w.ejectedUntil = d.now + w.backoff + d.rng.Int64N(w.backoff/2+1)
 	w.trial, w.bad = true, d.now
 }
 
@@ -159,7 +159,7 @@
 // for our part of what it can do while it warms up, and more: all send about what it bears.
 func (d *Dispatcher) thawed(w *worker) bool {
 	if d.byTurns(w) {
-		return d.bears(w, d.light)
+		return d.bears(w, d.lightestAim)
 	}
 	from, to := float64(max(w.coldFrom-w.up, 0)), float64(max(d.now-w.up, 0))
 	first, grown := d.cfg.StartCapacity, (to+from)/(2*float64(d.cfg.WarmAfter))
@@ -174,7 +174,7 @@
 // turn one light job, as it warms up more, in some turns a heavier one.
 func (d *Dispatcher) bears(w *worker, work float64) bool {
 	sent, turn := d.coldSent(w), d.turns.At(d.now)
-	most := d.light * d.warmth(w) / d.cfg.StartCapacity // in a turn
+	most := d.lightestAim * d.warmth(w) / d.cfg.StartCapacity // in a turn
 	return d.turns.Mine(turn, w.hash) &&
 		(sent+work <= most || sent == 0 && d.turns.Heavy(turn, w.hash, work/most))
 }
@@ -191,7 +191,7 @@
 // place moves a worker to where it belongs in the room lists.
 func (d *Dispatcher) place(w *worker) {
 	level := -1
-	if w.state == Live && w.overdue == 0 && d.now >= w.shut && w.own < max(1, min(w.cap, w.slots())) &&
+	if w.state == Live && w.overdue == 0 && d.now >= w.ejectedUntil && w.own < max(1, min(w.cap, w.slots())) &&
 		!(w.trial && w.jobs > 0) && !(d.young(w) && !d.thawed(w)) {
 		level = int(w.own)
 	}
--- a/machine_list.go
+++ b/machine_list.go
@@ -27,7 +27,7 @@
 	}
 	d.collectLive()
 	if kind == ListSaved || d.window == 0 {
-		d.window = d.meanCap() * float64(len(d.live)) / d.crowd // nothing is known against it
+		d.window = d.meanCap() * float64(len(d.live)) / d.fleetScale // nothing is known against it
 	}
 	d.placePending()
 }
@@ -56,7 +56,7 @@
 // restarted forgets what was learned of a process that is no more. The first
 // send to a young worker is put off at random, or all would send at once.
 func (d *Dispatcher) restarted(w *worker, at int64) {
-	w.up, w.shut, w.backoff, w.trial, w.failing, w.slow = at, 0, 0, false, 0, 0
+	w.up, w.ejectedUntil, w.backoff, w.trial, w.failing, w.slow = at, 0, 0, false, 0, 0
 	w.loaded, w.conns, w.since, w.keys, w.good, w.bad = false, 0, 0, nil, 0, 0
 	w.cap, w.capped = d.meanCap(), false
 	if d.young(w) && d.coldSent(w) == 0 {
--- a/peers.go
+++ b/peers.go
@@ -38,7 +38,9 @@
 
 // shares says that the dispatchers tell each other what their jobs hold. What it costs grows
 // with the square of their number, and many see too little of each worker to gain by it.
-func (d *Dispatcher) shares() bool { return d.cfg.MayMessage && d.cfg.Dispatchers > 1 && !d.many() }
+func (d *Dispatcher) shares() bool {
+	return d.cfg.MayMessage && d.cfg.Dispatchers > 1 && !d.largeFleet()
+}
 
 // knows says that this dispatcher knows of all jobs at the workers.
 func (d *Dispatcher) knows() bool { return d.cfg.Dispatchers == 1 || d.shares() }
--- a/placement.go
+++ b/placement.go
@@ -34,14 +34,14 @@
 			best, bestCost = w, c
 		}
 	}
-	if j.req.Key != 0 && (d.many() || d.cfg.Prices.Fetch > 0) {
+	if j.req.Key != 0 && (d.largeFleet() || d.cfg.Prices.Fetch > 0) {
 		ws := d.homesOf(j)
 		for i, w := range ws {
 			if w.level >= 0 && (!w.loaded || d.reported(w, j.req.Slots) < 1) {
 				try(w, float64(w.level)-4*d.cfg.Prices.Fetch*(1-float64(i)/float64(len(ws))), true)
 			}
 		}
-		if j.class.Effect != AtMostOnce && d.many() && bestCost < unproven {
+		if j.class.Effect != AtMostOnce && d.largeFleet() && bestCost < unproven {
 			return best // it mostly has a slot free, or soon
 		}
 	}
@@ -69,7 +69,7 @@
 
 // fetch is the jobs that a fetch weighs. It takes less of a long job's time; many look for room first.
 func (d *Dispatcher) fetch(j *job) float64 {
-	if !d.many() {
+	if !d.largeFleet() {
 		return fetchJobs
 	}
 	return fetchJobs * min(1, 2*float64(d.lightest())/float64(max(1, j.class.median)))
@@ -88,7 +88,7 @@
 		j.homes, j.homesOf = d.nearest(j)
 		j.homesAt = d.lists
 	}
-	if !d.many() {
+	if !d.largeFleet() {
 		return j.homes
 	}
 	n := max(1+len(j.attempts), int(homeRoom*d.keys.part(j.req.Key)*float64(j.homesOf)))
@@ -100,7 +100,7 @@
 	if w.level < 0 || !d.maySend(j, w) || j.req.Among != nil && !slices.Contains(j.req.Among, w.id) {
 		return false
 	}
-	if d.many() && j.class.Effect == AtMostOnce {
+	if d.largeFleet() && j.class.Effect == AtMostOnce {
 		room := d.queueRoom()
 		if d.young(w) {
 			room *= 2 // it mostly has room, and is paced
@@ -134,14 +134,14 @@
 		c = 1
 	}
 	if w.zone != d.cfg.Zone {
-		c += crossingJobs * d.cfg.Prices.CrossZone / min(d.crowd, 8)
+		c += crossingJobs * d.cfg.Prices.CrossZone / min(d.fleetScale, 8)
 	}
 	if d.dials(w) {
 		c += 3 * d.cfg.Prices.Handshake
 	}
 	c += (w.slow - 1) / 3
 	switch {
-	case !d.many():
+	case !d.largeFleet():
 	case d.young(w) && d.warmth(w) < heavyFrom && j.class.median > d.lightest():
 		c += crossingJobs
 	case j.class.Effect == AtMostOnce || d.attemptsLeft(j) == 1:
--- a/regulator.go
+++ b/regulator.go
@@ -80,8 +80,8 @@
 	if warm := len(d.live) - young; warm > 0 {
 		// A peak is held for a while: what workers once served they can serve, also
 		// when traffic or a failure keeps them from it now.
-		d.warmNow += (d.served/float64(warm) - d.warmNow) * max(rateGain/min(d.crowd, 2), 1/float64(d.period))
-		d.warmRate = max(d.warmNow, d.warmRate*(1-(1-peakKept)*min(d.crowd, 5)))
+		d.warmNow += (d.served/float64(warm) - d.warmNow) * max(rateGain/min(d.fleetScale, 2), 1/float64(d.period))
+		d.warmRate = max(d.warmNow, d.warmRate*(1-(1-peakKept)*min(d.fleetScale, 5)))
 	}
 	d.served = 0
 	d.forgetGone(d.now - keepGone)
--- a/snapshot.go
+++ b/snapshot.go
@@ -72,7 +72,7 @@
 // Snapshot returns what the dispatcher has learned.
 func (d *Dispatcher) Snapshot() *Snapshot {
 	s := &Snapshot{
-		Now: d.now, Period: d.period, U: d.u, Open: d.open, Offered: d.offered, Share: d.share, Spare: d.spare,
+		Now: d.now, Period: d.period, U: d.u, Open: d.open, Offered: d.offered, Share: d.share, Spare: d.burstTokens,
 		Window: d.window, Copies: d.copies, Usual: MeanSnapshot{d.usual.avg, d.usual.dev},
 		Starts: MeanSnapshot{d.starts.avg, d.starts.dev}, Least: d.least, Fade: d.fade, Rate: d.warmRate, RateNow: d.warmNow,
 		Keys: d.keys.newest(),
@@ -96,7 +96,7 @@
 // left out.
 func (d *Dispatcher) Restore(s *Snapshot) {
 	d.period, d.u, d.open, d.offered, d.share = s.Period, s.U, s.Open, s.Offered, s.Share
-	d.spare, d.window, d.copies, d.least, d.fade = s.Spare, s.Window, s.Copies, s.Least, max(s.Fade, 1)
+	d.burstTokens, d.window, d.copies, d.least, d.fade = s.Spare, s.Window, s.Copies, s.Least, max(s.Fade, 1)
 	d.usual, d.starts = mean{s.Usual.Average, s.Usual.Deviation}, mean{s.Starts.Average, s.Starts.Deviation}
 	d.warmRate, d.warmNow = s.Rate, s.RateNow
 	d.keys = keyLog{}
@@ -150,7 +150,7 @@
 }
 
 func (t *tenant) snapshot(name string) TenantSnapshot {
-	s := TenantSnapshot{Name: name, Rate: t.rate, Tokens: t.tokens, Offered: t.offered, Margin: t.margin, Past: t.past}
+	s := TenantSnapshot{Name: name, Rate: t.rate, Tokens: t.tokens, Offered: t.offered, Margin: t.margin, Past: t.overQuotaSends}
 	for _, f := range t.classes {
 		s.Came, s.Sent = append(s.Came, f.came), append(s.Sent, f.sent)
 	}
@@ -158,7 +158,7 @@
 }
 
 func (t *tenant) restore(s *TenantSnapshot) {
-	t.rate, t.tokens, t.offered, t.margin, t.past = s.Rate, s.Tokens, s.Offered, s.Margin, s.Past
+	t.rate, t.tokens, t.offered, t.margin, t.overQuotaSends = s.Rate, s.Tokens, s.Offered, s.Margin, s.Past
 	for i := range t.classes {
 		if i < len(s.Came) && i < len(s.Sent) {
 			t.classes[i].came, t.classes[i].sent = s.Came[i], s.Sent[i]
@@ -168,15 +168,15 @@
 
 func (w *worker) snapshot() WorkerSnapshot {
 	return WorkerSnapshot{
-		ID: w.id, Started: w.up, Cap: w.cap, Capped: w.capped, Most: w.most, Shut: w.shut, Backoff: w.backoff,
-		Trial: w.trial, Fulls: w.fulls, Good: w.good, Bad: w.bad, Failing: w.failing, Slow: w.slow,
+		ID: w.id, Started: w.up, Cap: w.cap, Capped: w.capped, Most: w.slotsTold, Shut: w.ejectedUntil, Backoff: w.backoff,
+		Trial: w.trial, Fulls: w.refusalsInARow, Good: w.good, Bad: w.bad, Failing: w.failing, Slow: w.slow,
 		ColdFrom: w.coldFrom, ColdWork: w.coldWork, Keys: slices.Clone(w.keys),
 	}
 }
 
 func (w *worker) restore(s *WorkerSnapshot) {
-	w.cap, w.capped, w.most, w.shut, w.backoff = s.Cap, s.Capped, s.Most, s.Shut, s.Backoff
-	w.trial, w.fulls, w.good, w.bad, w.failing, w.slow = s.Trial, s.Fulls, s.Good, s.Bad, s.Failing, s.Slow
+	w.cap, w.capped, w.slotsTold, w.ejectedUntil, w.backoff = s.Cap, s.Capped, s.Most, s.Shut, s.Backoff
+	w.trial, w.refusalsInARow, w.good, w.bad, w.failing, w.slow = s.Trial, s.Fulls, s.Good, s.Bad, s.Failing, s.Slow
 	w.coldFrom, w.coldWork, w.keys = s.ColdFrom, s.ColdWork, slices.Clone(s.Keys)
 	w.keys = w.keys[:min(len(w.keys), keptKeys)]
 }
--- a/snapshot_test.go
+++ b/snapshot_test.go
@@ -73,7 +73,7 @@
 	to := newRig(t, cfg, workers...)
 	before := *to.d.workers["w1"]
 	to.d.Restore(snapshot)
-	if after := *to.d.workers["w1"]; after.cap != before.cap || after.slow != before.slow || after.shut != before.shut {
+	if after := *to.d.workers["w1"]; after.cap != before.cap || after.slow != before.slow || after.ejectedUntil != before.ejectedUntil {
 		t.Errorf("another run of a worker: %+v, want %+v", after, before)
 	}
 	if to.d.workers["w0"].cap != snapshot.Workers[0].Cap {
@@ -101,7 +101,7 @@
 	if n := r.d.Ejected(); n != 0 {
 		t.Errorf("%d ejected when one is full, want 0", n)
 	}
-	r.d.shut(r.d.workers["w1"])
+	r.d.eject(r.d.workers["w1"])
 	r.d.workers["w2"].overdue = 1
 	if n := r.d.Ejected(); n != 2 {
 		t.Errorf("%d ejected, want 2", n)
--- a/state.go
+++ b/state.go
@@ -16,7 +16,7 @@
 	cfg             Config
 	rng             *rand.Rand
 	now             int64
-	crowd           float64 // how many times more dispatchers there are than a few
+	fleetScale      float64 // how many times more dispatchers there are than a few
 	began           int64   // time of the first step; -1 before it
 	tick, tickAt    int64   // between looks at what is held and overdue; the next of them
 	regulAt, period int64   // next run of the regulator, and its number
@@ -30,22 +30,22 @@
 	scouting   []*job     // waiting for news of some workers
 	urgent     []*job     // came just before their deadline, or too late to be in time
 
-	classes  []classLoop
-	u        float64 // admission rate of the whole fleet, jobs a second
-	open     bool    // u is at its maximum: the loop does not throttle
-	offered  float64 // jobs a second that arrive here
-	arrived  int
-	peers    []peer
-	untold   []*worker // where something changed that peers have not been told
-	told     uint16    // number of the last message
-	life     byte      // of this dispatcher, in its messages
-	tenants  []tenant
-	bands    []Band
-	share    float64 // of the traffic that comes here, slowly followed
-	spare    float64 // tokens past the bands, and unused ones, for any tenant
-	spareMax float64
-	refilled int64
-	round    int64 // of dispatch
+	classes     []classLoop
+	u           float64 // admission rate of the whole fleet, jobs a second
+	open        bool    // u is at its maximum: the loop does not throttle
+	offered     float64 // jobs a second that arrive here
+	arrived     int
+	peers       []peer
+	untold      []*worker // where something changed that peers have not been told
+	told        uint16    // number of the last message
+	life        byte      // of this dispatcher, in its messages
+	tenants     []tenant
+	bands       []Band
+	share       float64 // of the traffic that comes here, slowly followed
+	burstTokens float64 // tokens past the bands, and unused ones, for any tenant
+	burstRate   float64
+	refilled    int64
+	round       int64 // of dispatch
 
 	workers map[string]*worker
 	list    []*worker     // in the order first heard of
@@ -54,24 +54,24 @@
 	parts   [][]*worker   // for roomAt
 	live    []*worker     // the live ones, in the list's order
 	fleetIndex
-	keys      keyLog     // of the last jobs
-	inflight  float64    // slots of our jobs in flight,
-	othersOut float64    // and of those that the host sent past this dispatcher
-	waits     int        // attempts sent that have not started, on workers that may be well
-	window    float64    // how many of them the fleet starts without delay
-	usual     mean       // pressure that load reports show
-	fresh     [4]*worker // the last that reported
-	freshAt   int
-	fade      int64    // time in which a load report loses its meaning
-	starts    mean     // delay from sending to the start
-	least     [4]int64 // the least delay, by attempt.way
-	warmRate  float64  // slots that each warm worker has at work for us
-	warmNow   float64  // the same, lately
-	served    float64
-	listCall  listCall
-	turns     coldstart.Turns // at young workers, where no rate is known
-	light     float64         // the least aim: what a light job stands for there
-	lists     int64           // number of list events
+	keys        keyLog     // of the last jobs
+	inflight    float64    // slots of our jobs in flight,
+	othersOut   float64    // and of those that the host sent past this dispatcher
+	waits       int        // attempts sent that have not started, on workers that may be well
+	window      float64    // how many of them the fleet starts without delay
+	usual       mean       // pressure that load reports show
+	fresh       [4]*worker // the last that reported
+	freshAt     int
+	fade        int64    // time in which a load report loses its meaning
+	starts      mean     // delay from sending to the start
+	least       [4]int64 // the least delay, by attempt.path
+	warmRate    float64  // slots that each warm worker has at work for us
+	warmNow     float64  // the same, lately
+	served      float64
+	listCall    listCall
+	turns       coldstart.Turns // at young workers, where no rate is known
+	lightestAim float64         // the least aim: what a light job stands for there
+	lists       int64           // number of list events
 }
 
 // A job is a request that is held, in flight, or ended with attempts still out.
@@ -102,7 +102,7 @@
 	number        int
 	sent, started int64
 	index         int // in Dispatcher.out
-	way           int // how it went: over a new connection 1, to another zone 2 more
+	path          int // how it went: over a new connection 1, to another zone 2 more
 	slots         float64
 	done          bool
 	mayRun        bool // it ended, and may have run
@@ -113,15 +113,15 @@
 
 // A tenant is one of Config.Tenants as seen here.
 type tenant struct {
-	rate    float64 // its part of u here, within the bands, jobs a second
-	tokens  float64
-	arrived int
-	offered float64
-	margin  float64  // that offered may be over the rate by chance
-	past    float64  // jobs lately sent past its bands
-	blocked int64    // the round of dispatch that found no worker for it
-	queues  [][]*job // by class, oldest first
-	classes []flow   // by class, what lately came and was sent
+	rate           float64 // its part of u here, within the bands, jobs a second
+	tokens         float64
+	arrived        int
+	offered        float64
+	margin         float64  // that offered may be over the rate by chance
+	overQuotaSends float64  // jobs lately sent past its bands
+	blocked        int64    // the round of dispatch that found no worker for it
+	queues         [][]*job // by class, oldest first
+	classes        []flow   // by class, what lately came and was sent
 }
 
 // A flow is what lately came of one class of a tenant, and what was sent of it.
@@ -184,10 +184,10 @@
 	}
 	d.tick = max(aim/8, int64(1e6))
 	d.room, d.homes = make([][][]*worker, kinds+1), make([]homeIndex, kinds+1)
-	d.crowd = max(1, float64(cfg.Dispatchers)/few)
+	d.fleetScale = max(1, float64(cfg.Dispatchers)/few)
 	bears := cfg.FallMultiple * cfg.StartCapacity * d.meanCap() // slots, of a worker that has just started
-	d.light = float64(aim)
-	d.turns = coldstart.NewTurns(cfg.FallWindow, cfg.Dispatchers, cfg.Index, bears*float64(cfg.FallWindow)/d.light)
+	d.lightestAim = float64(aim)
+	d.turns = coldstart.NewTurns(cfg.FallWindow, cfg.Dispatchers, cfg.Index, bears*float64(cfg.FallWindow)/d.lightestAim)
 	d.life = byte(seed ^ seed>>32)
 	d.initTenants()
 	return d, nil
@@ -274,8 +274,8 @@
 	return d.cfg.MaxAttempts - j.req.Tried - len(j.attempts)
 }
 
-// wayTo tells how an attempt goes to a worker now.
-func (d *Dispatcher) wayTo(w *worker) (way int) {
+// pathTo tells how an attempt goes to a worker now.
+func (d *Dispatcher) pathTo(w *worker) (way int) {
 	if d.dials(w) {
 		way++
 	}
@@ -294,16 +294,16 @@
 	return w.jobs >= w.conns || d.cfg.ConnIdle > 0 && d.now-w.idleAt > d.cfg.ConnIdle
 }
 
-// pastWay notes an attempt's delay to its start and returns it less the least that the same way
+// beyondLeastDelay notes an attempt's delay to its start and returns it less the least that the same way
 // has taken: a handshake with another zone may take longer than a job waits.
-func (d *Dispatcher) pastWay(a *attempt, delay int64) int64 {
-	if !d.many() {
+func (d *Dispatcher) beyondLeastDelay(a *attempt, delay int64) int64 {
+	if !d.largeFleet() {
 		return delay // a few learn each worker's room by itself
 	}
-	if least := &d.least[a.way]; *least == 0 || delay < *least {
+	if least := &d.least[a.path]; *least == 0 || delay < *least {
 		*least = max(1, delay)
 	}
-	return delay - d.least[a.way]
+	return delay - d.least[a.path]
 }
 
 // waited ends an attempt's wait for its start.
--- a/workers.go
+++ b/workers.go
@@ -16,34 +16,34 @@
 	up               int64 // when it started; 0: long ago
 	hash             uint64
 
-	own        float64 // slots of our jobs there, and of the host's others
-	others     float64 // of these, what others sent
-	theirs     held    // and what peers say that their jobs hold there
-	memory     float64 // that all these jobs need
-	most       float64 // slots that it has, as its load reports tell; 0: unknown
-	untold     bool    // peers have not been told of the last change
-	jobs       int
-	cap        float64 // most of our slots that it takes without delay
-	capped     bool    // cap was learned from its own answers
-	level, pos int     // place in Dispatcher.room; level -1: gets nothing now
-	overdue    int     // jobs that it should have started
-	shut       int64   // gets nothing before this
-	backoff    int64
-	fulls      int     // refusals in a row
-	trial      bool    // one job only, until it answers
-	good       int64   // when it last started one of our jobs at once,
-	bad        int64   // and when it last had no room for one, or failed it
-	failing    float64 // share of late attempts that failed
-	coldFrom   int64   // a young worker's last send,
-	coldWork   float64 // and the work that it must have had time for before the next
-	slow       float64 // its running times over the class medians
-	load       [MaxGauges]float64
-	loaded     bool
-	since      float64 // slots sent since the load report
-	loadAt     int64
-	conns      int      // connections thought open
-	idleAt     int64    // last use of a connection
-	keys       []uint64 // of our last jobs there, the newest first
+	own            float64 // slots of our jobs there, and of the host's others
+	others         float64 // of these, what others sent
+	theirs         held    // and what peers say that their jobs hold there
+	memory         float64 // that all these jobs need
+	slotsTold      float64 // slots that it has, as its load reports tell; 0: unknown
+	untold         bool    // peers have not been told of the last change
+	jobs           int
+	cap            float64 // most of our slots that it takes without delay
+	capped         bool    // cap was learned from its own answers
+	level, pos     int     // place in Dispatcher.room; level -1: gets nothing now
+	overdue        int     // jobs that it should have started
+	ejectedUntil   int64   // gets nothing before this
+	backoff        int64
+	refusalsInARow int     // refusals in a row
+	trial          bool    // one job only, until it answers
+	good           int64   // when it last started one of our jobs at once,
+	bad            int64   // and when it last had no room for one, or failed it
+	failing        float64 // share of late attempts that failed
+	coldFrom       int64   // a young worker's last send,
+	coldWork       float64 // and the work that it must have had time for before the next
+	slow           float64 // its running times over the class medians
+	load           [MaxGauges]float64
+	loaded         bool
+	since          float64 // slots sent since the load report
+	loadAt         int64
+	conns          int      // connections thought open
+	idleAt         int64    // last use of a connection
+	keys           []uint64 // of our last jobs there, the newest first
 
 	indexed // where it stands in Dispatcher.fleetIndex
 }
@@ -129,7 +129,9 @@
 
 // coldSize is what a job counts for at such a worker. By its aim: running times are long where
 // it is cold. Aims tell little of how much heavier one is than another, so the rest counts twice.
-func (d *Dispatcher) coldSize(j *job) float64 { return 2*j.req.Slots*float64(j.class.Aim) - d.light }
+func (d *Dispatcher) coldSize(j *job) float64 {
+	return 2*j.req.Slots*float64(j.class.Aim) - d.lightestAim
+}
 
 // coldAfter is what a young worker has been sent with this attempt, until it has had time for it.
 func (d *Dispatcher) coldAfter(w *worker, a *attempt) float64 {
@@ -160,7 +162,7 @@
 		}
 	}
 	if known == 3 {
-		w.most = max(w.most, math.Round(gauges[GaugeHeld]-gauges[GaugeQueue]+gauges[GaugeFreeSlots]))
+		w.slotsTold = max(w.slotsTold, math.Round(gauges[GaugeHeld]-gauges[GaugeQueue]+gauges[GaugeFreeSlots]))
 	}
 	d.usual.add(d.reported(w, 1))
 	d.heard(w)
@@ -174,18 +176,18 @@
 
 // slots is the most that a worker can have at work.
 func (w *worker) slots() float64 {
-	if w.most == 0 {
+	if w.slotsTold == 0 {
 		return math.Inf(1)
 	}
-	return w.most
+	return w.slotsTold
 }
 
 // memoryOf is the memory that a worker has for jobs.
 func (d *Dispatcher) memoryOf(w *worker) float64 {
-	if d.cfg.SlotMemory == 0 || w.most == 0 {
+	if d.cfg.SlotMemory == 0 || w.slotsTold == 0 {
 		return math.Inf(1)
 	}
-	return w.most * d.cfg.SlotMemory
+	return w.slotsTold * d.cfg.SlotMemory
 }
 
 // Ejected returns how many live workers get nothing, or one trial job at most, since attempts
