--- a/internal/daemon/list.go
+++ b/internal/daemon/list.go
@@ -32,16 +32,20 @@
 // keepList keeps the machine list, on a goroutine of its own: a disk that stands still holds up nothing
 // else. It ends, with a last look, when the scheduler does.
 func (d *Daemon) keepList() {
-	look := time.NewTicker(checkpoint.Every)
+	look := time.NewTicker(checkpoint.Look)
 	defer look.Stop()
-	for ending := false; !ending; {
+	for {
+		keep := d.keeper.Keep
 		select {
 		case <-look.C:
 		case <-d.ending:
-			ending = true
+			keep = d.keeper.Flush
 		}
-		if err := d.keeper.Keep(d.platform, time.Now()); err != nil {
+		if err := keep(d.platform, time.Now()); err != nil {
 			d.log.Warn("the machine list is not kept", zap.Error(err))
 		}
+		if d.isEnding() {
+			return
+		}
 	}
 }
--- a/internal/lab/capacity/capacity_test.go
+++ b/internal/lab/capacity/capacity_test.go
@@ -69,6 +69,16 @@
 	near(t, "beyond with a fixed part", powerLaw(1000, 1, 1, 10, 100, 1000, 10_000, 100_000).at(1e6), 1e6, 0.3)
 }
 
+// The median is the middle one, or the mean of the two in the middle.
+func TestMedian(t *testing.T) {
+	for _, c := range []struct {
+		sorted []float64
+		want   float64
+	}{{[]float64{7}, 7}, {[]float64{1, 3}, 2}, {[]float64{1, 2, 9}, 2}, {[]float64{1, 2, 4, 9}, 3}, {[]float64{1, 1, 5, 8, 9}, 5}} {
+		near(t, "median", medianOf(c.sorted), c.want, 1e-12)
+	}
+}
+
 // A cost under what the clock can tell has no logarithm: it is left out of the line.
 func TestSlopeLeavesOutZero(t *testing.T) {
 	s := &Series{}
--- a/internal/lab/capacity/series.go
+++ b/internal/lab/capacity/series.go
@@ -40,7 +40,7 @@
 // addPoint takes in the runs at one size.
 func (s *Series) addPoint(size int, runs []float64) {
 	sorted := slices.Sorted(slices.Values(runs))
-	median := stat.Quantile(0.5, stat.LinInterp, sorted, nil)
+	median := medianOf(sorted)
 	p := Point{Size: size, Runs: runs, Median: median}
 	if median != 0 {
 		p.Spread = (sorted[len(sorted)-1] - sorted[0]) / median
@@ -48,6 +48,12 @@
 	s.Points = append(s.Points, p)
 }
 
+// medianOf returns the value in the middle of sorted ones, or the mean of the two there.
+func medianOf(sorted []float64) float64 {
+	const half, above = 0.5, 0.5 + 1e-9
+	return (stat.Quantile(half, stat.Empirical, sorted, nil) + stat.Quantile(above, stat.Empirical, sorted, nil)) / 2
+}
+
 // fit draws the line through the logarithms of sizes and medians. A median of 0 is under what the clock
 // can tell, and has no logarithm: it is left out.
 func (s *Series) fit() {
--- a/internal/lab/capacity/urgent.go
+++ b/internal/lab/capacity/urgent.go
@@ -49,7 +49,7 @@
 		}
 	}
 	slices.Sort(waits)
-	return stat.Quantile(urgentShare, stat.LinInterp, waits, nil)
+	return stat.Quantile(urgentShare, stat.Empirical, waits, nil)
 }
 
 // urgentWait is the closed form: the ends of tasks on many slots are nearly a Poisson process.
--- a/internal/platform/saved_list.go
+++ b/internal/platform/saved_list.go
@@ -14,6 +14,7 @@
 type SavedList struct {
 	At        time.Time       // when it was so
 	Discovery string          // whose versions the list has
+	Version   int64           // of the list
 	List      json.RawMessage // in discovery's form
 }
 
@@ -54,5 +55,5 @@
 	if err != nil {
 		return nil, false // it holds nothing that JSON has no form for
 	}
-	return &SavedList{At: time.Now(), Discovery: addr, List: text}, true
+	return &SavedList{At: time.Now(), Discovery: addr, Version: version, List: text}, true
 }
--- a/internal/standin/discovery.go
+++ b/internal/standin/discovery.go
@@ -148,6 +148,13 @@
 	}
 }
 
+// Version returns the list's version.
+func (d *Discovery) Version() int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.seq
+}
+
 // Compact forgets the changes so far: who asks for those since an older version gets the whole list.
 func (d *Discovery) Compact() {
 	d.mu.Lock()
