--- a/internal/lab/capacity/capacity_test.go
+++ b/internal/lab/capacity/capacity_test.go
@@ -201,6 +201,11 @@
 	if _, err := Run(t.Context(), new(strings.Builder), Options{Dimensions: []string{"workers", "luck"}}); !errors.Is(err, errUnknown) || !strings.Contains(err.Error(), `"luck"`) {
 		t.Errorf("unknown dimension: %v", err)
 	}
+	for _, o := range []FaultsOptions{{Workers: 0, Starts: 5}, {Workers: mostWorkers + 1, Starts: 5}, {Workers: 2000}, {Workers: 2000, Starts: mostStarts + 1}} {
+		if _, err := o.Run(t.Context(), new(strings.Builder)); !errors.Is(err, errSize) {
+			t.Errorf("%d workers, %d starts: %v", o.Workers, o.Starts, err)
+		}
+	}
 	r := &Result{Machine: 1 << 20}
 	if err := r.noteMemory(); !errors.Is(err, errMemory) {
 		t.Errorf("on a machine of 1 MB: %v", err)
--- a/internal/lab/fleet/fleet.go
+++ b/internal/lab/fleet/fleet.go
@@ -12,7 +12,6 @@
 	"path/filepath"
 	"slices"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/vatu-meals/foxlift/internal/lab"
@@ -249,21 +248,6 @@
 	return f.Configure(i, f.Discovery.KnownAt(f.dial(i)))
 }
 
-// addresses counts the addresses that were given out.
-var addresses atomic.Int64
-
-// freeAddr finds an address on loopback that nothing uses: each call has an IP address of its own, so
-// that no outgoing connection and no other fleet takes its port while nobody listens there.
-func freeAddr() (string, error) {
-	n := addresses.Add(1)
-	l, err := net.Listen("tcp", fmt.Sprintf("127.7%d.%d.%d:0", os.Getpid()%10, n/250%250, n%250+1))
-	if err != nil {
-		return "", err
-	}
-	defer l.Close()
-	return l.Addr().String(), nil
-}
-
 // dial returns how process i reaches each node, by its name and its own address.
 func (f *Fleet) dial(i int) func(host, addr string) string {
 	return func(host, addr string) string { return f.via(i, host, addr) }
