--- a/cmd/foxlift-lab/capacity.go
+++ b/cmd/foxlift-lab/capacity.go
@@ -22,7 +22,7 @@
 // capacityFlags are those of the command besides what a run takes.
 type capacityFlags struct {
 	capacity.Options
-	check          bool
+	check, render  bool
 	faults         bool
 	trial          capacity.FaultsOptions
 	measured, page string // paths
@@ -42,13 +42,17 @@
 than what has changed, or did not come to the list as it is. --without keeps no list, for comparison.`,
 		Example: "  go run ./cmd/foxlift-lab capacity --short\n  go run ./cmd/foxlift-lab capacity --check\n  go run ./cmd/foxlift-lab capacity --faults --seed 2",
 		RunE: func(cmd *cobra.Command, _ []string) error {
-			if f.check {
+			switch {
+			case f.check:
 				return capacity.CheckFiles(f.page, f.measured)
+			case f.render:
+				return f.writePage()
 			}
 			return f.run(cmd)
 		},
 	}
 	cmd.Flags().BoolVar(&f.check, "check", false, "only see that the page is what the measurements give")
+	cmd.Flags().BoolVar(&f.render, "render", false, "only write the page anew from the measurements")
 	cmd.Flags().BoolVar(&f.faults, "faults", false, "only the trial of starts with a list that is kept")
 	cmd.Flags().BoolVar(&f.trial.Without, "without", false, "with --faults: no list is kept")
 	cmd.Flags().IntVar(&f.trial.Workers, "workers", f.trial.Workers, "with --faults: workers in the list")
@@ -94,6 +98,19 @@
 	return nil
 }
 
+// writePage writes the page of measurements that are there.
+func (f *capacityFlags) writePage() error {
+	m, err := capacity.Load(f.measured)
+	if err != nil {
+		return err
+	}
+	page, err := capacity.Page(m)
+	if err != nil {
+		return err
+	}
+	return os.WriteFile(f.page, []byte(page), 0o644)
+}
+
 // write writes the measurements and the page, the page first: it may turn out that it cannot be.
 func (f *capacityFlags) write(m *capacity.Measured, out io.Writer) error {
 	page, err := capacity.Page(m)
--- a/internal/lab/capacity/capacity_test.go
+++ b/internal/lab/capacity/capacity_test.go
@@ -69,6 +69,18 @@
 	near(t, "beyond with a fixed part", powerLaw(100, 1, 1, 10, 100, 1000, 10_000, 100_000).at(1e6), 1e6, 0.15)
 }
 
+// A slope that reaches a budget far beyond the target tells no more than that.
+func TestMultiple(t *testing.T) {
+	for x, want := range map[float64]string{0.055: "0.0550", 2.18: "2.18", 1000: "1000", 1000.1: "over 1000", math.Inf(1): "over 1000"} {
+		if got := multiple(x); got != want {
+			t.Errorf("%v: %s, want %s", x, got, want)
+		}
+	}
+	if got := multiple(math.NaN()); got != "not known" {
+		t.Errorf("not known: %s", got)
+	}
+}
+
 // The median is the middle one, or the mean of the two in the middle.
 func TestMedian(t *testing.T) {
 	for _, c := range []struct {
--- a/internal/lab/capacity/page.go
+++ b/internal/lab/capacity/page.go
@@ -133,6 +133,17 @@
 	return fmt.Sprintf("%.*f", digits, x)
 }
 
+// farBeyond is a multiple of the target past which a slope says only that there is no wall near.
+const farBeyond = 1000
+
+// multiple writes a multiple of the target.
+func multiple(x float64) string {
+	if x > farBeyond {
+		return fmt.Sprintf("over %d", farBeyond)
+	}
+	return number(x)
+}
+
 // show returns a figure with its unit.
 func (t *target) show(name string) (string, error) {
 	f, there := t.byName[name]
@@ -159,7 +170,7 @@
 func (t *target) wallTable() string {
 	rows := []string{"| budget | crossed at, of the target | from |", "| --- | --- | --- |"}
 	for _, w := range t.walls {
-		rows = append(rows, fmt.Sprintf("| %s | %s | %s |", w.Name, number(w.Fraction), w.from))
+		rows = append(rows, fmt.Sprintf("| %s | %s | %s |", w.Name, multiple(w.Fraction), w.from))
 	}
 	return strings.Join(rows, "\n")
 }
@@ -167,7 +178,7 @@
 func (t *target) lineTable() string {
 	rows := []string{"| line of the target | mechanism | state | breaks at, of the target | what breaks |", "| --- | --- | --- | --- | --- |"}
 	for _, l := range t.lines {
-		rows = append(rows, fmt.Sprintf("| %s | %s | %s | %s | %s |", l.name, l.mechanism, l.state, number(l.multiple), l.breaks))
+		rows = append(rows, fmt.Sprintf("| %s | %s | %s | %s | %s |", l.name, l.mechanism, l.state, multiple(l.multiple), l.breaks))
 	}
 	return strings.Join(rows, "\n")
 }
