--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -53,6 +53,7 @@
 	log      *zap.Logger
 
 	keeper   *checkpoint.Keeper // nil where the machine list is not kept
+	listKept chan struct{}      // closed once the list was kept for the last time
 	place    *upgrade.Place     // nil where no other process can take over
 	serving  atomic.Bool        // submitters are served,
 	settled  atomic.Bool        // and no other process has jobs that its end would cost
@@ -125,6 +126,7 @@
 		return nil, err
 	}
 	if d.keeper != nil {
+		d.listKept = make(chan struct{})
 		go d.keepList()
 	}
 	return d, nil
@@ -285,6 +287,7 @@
 	defer d.mu.Unlock()
 	stop()
 	d.over.Do(func() { close(d.gone) })
+	d.awaitList()
 	d.stopOperators()
 	if d.place != nil {
 		d.place.Leave()
--- a/internal/daemon/list.go
+++ b/internal/daemon/list.go
@@ -29,9 +29,26 @@
 	}
 }
 
+// lastKeepLimit is how long the end waits for the list to be kept: a disk that stands still must not
+// hold it up to the kill.
+const lastKeepLimit = 300 * time.Millisecond
+
+// awaitList waits, at the end, until the list has been kept for the last time.
+func (d *Daemon) awaitList() {
+	if d.listKept == nil {
+		return
+	}
+	select {
+	case <-d.listKept:
+	case <-time.After(lastKeepLimit):
+		d.log.Warn("the machine list may not have been kept at the end")
+	}
+}
+
 // keepList keeps the machine list, on a goroutine of its own: a disk that stands still holds up nothing
 // else. It ends, with a last look, when the scheduler does.
 func (d *Daemon) keepList() {
+	defer close(d.listKept)
 	look := time.NewTicker(checkpoint.Look)
 	defer look.Stop()
 	for {
