Settings: the real scheduler's checks in a file and a function each

Change: pure moves into check.go (fleet, classes, tenants, times, figures, reports, in the same order), module and addClasses. The mutant of a negative stretch looks at the new file (TestMutantsApply saw that it has to).

--- /dev/null
+++ b/internal/config/check.go
@@ -0,0 +1,154 @@
+package config
+
+// The checks that only the real scheduler makes.
+
+import (
+	"errors"
+	"fmt"
+	"math"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/vatu-meals/foxlift"
+)
+
+// maxTime bounds every time in the settings: sums and multiples of them stay numbers.
+const maxTime = int64(30 * 24 * time.Hour)
+
+// keyMargin is what a repeat of a keyed job may take from its last byte's writing to the node,
+// with what clocks differ by: so much sooner the window counts as over.
+const keyMargin = int64(100 * time.Millisecond)
+
+// checkReal holds the checks that only the real scheduler makes: the simulator's
+// adapter leaves them to the module.
+func (s *Settings) checkReal() error {
+	for _, check := range []func() error{s.checkFleet, s.checkClasses, s.checkTenants, s.checkTimes, s.checkFigures, s.checkReports} {
+		if err := check(); err != nil {
+			return err
+		}
+	}
+	c := &s.Module
+	c.ListOnRequest = true // the protocol has no other way, whatever the simulator's has
+	for i := range c.Classes {
+		if k := &c.Classes[i]; k.Effect == foxlift.Deduplicated {
+			k.KeyTTL = max(0, k.KeyTTL-keyMargin)
+		}
+	}
+	return nil
+}
+
+// checkFleet checks what the scheduler is told of itself and of the fleet.
+func (s *Settings) checkFleet() error {
+	c := &s.Module
+	switch {
+	case len(c.Classes) == 0:
+		return errors.New("grades: none given")
+	case c.Dispatchers > foxlift.MaxDispatchers:
+		return fmt.Errorf("balancers: over %d", foxlift.MaxDispatchers)
+	case c.Index < 0 || c.Index >= c.Dispatchers:
+		return errors.New("slotNo: not under balancers")
+	case s.Discovery != "" && !slices.Contains(discoveries, s.Discovery):
+		return fmt.Errorf("discovery: %q is not one of %s", s.Discovery, strings.Join(discoveries, ", "))
+	case s.Zone != "" && len(s.Zones) > 0 && c.Zone < 0:
+		return fmt.Errorf("zone: %q is not one of dcs", s.Zone)
+	}
+	if c.StartCapacity > 1 {
+		return errors.New("obligations.startCapacity: over 1")
+	}
+	return nil
+}
+
+// checkClasses checks each class.
+func (s *Settings) checkClasses() error {
+	c := &s.Module
+	for i, k := range c.Classes {
+		switch {
+		case k.Name == "":
+			return fmt.Errorf("grades[%d].name: empty", i)
+		case s.Classes[k.Name] != i:
+			return fmt.Errorf("grades[%d].name: %q is there twice", i, k.Name)
+		case k.Aim <= 0:
+			return fmt.Errorf("grades[%d].aim: must be over 0", i)
+		case k.Deadline <= 0:
+			return fmt.Errorf("grades[%d].deadline: must be over 0", i)
+		case k.Stretch < 0:
+			return fmt.Errorf("grades[%d].aimStretch, familyInfo.classStretch[%d]: negative", i, i)
+		case k.KeyTTL < 0:
+			return fmt.Errorf("grades[%d].keyTtl: negative", i)
+		case max(k.Aim, k.Deadline, k.KeyTTL) > maxTime:
+			return fmt.Errorf("grades[%d]: a time of over %v", i, time.Duration(maxTime))
+		case k.Kind < -1 || k.Kind >= max(1, len(s.Kinds)):
+			return fmt.Errorf("familyInfo.classKind[%d]: no such kind", i)
+		}
+	}
+	return nil
+}
+
+// checkTenants checks each tenant.
+func (s *Settings) checkTenants() error {
+	c := &s.Module
+	for i, t := range c.Tenants {
+		if s.Tenants[t.Name] != i {
+			return fmt.Errorf("projects[%d].name: %q is there twice", i, t.Name)
+		}
+		if t.Quota < 0 || math.IsNaN(t.Quota) {
+			return fmt.Errorf("projects[%d].quotaRps: negative", i)
+		}
+	}
+	return nil
+}
+
+// checkTimes checks that each time and number is within its bounds.
+func (s *Settings) checkTimes() error {
+	c := &s.Module
+	for _, f := range []struct {
+		key  string
+		time int64
+	}{
+		{"bounds.connectTimeout", s.ConnectTimeout}, {"bounds.connIdle", c.ConnIdle},
+		{"bounds.maxRetryAfter", c.MaxRetryAfter}, {"obligations.graceToAnswer", c.AnswerGrace},
+		{"obligations.mustAskIn", c.MustAskIn}, {"obligations.warmAfter", c.WarmAfter},
+		{"obligations.fall", c.FallWindow}, {"bounds.maxOpen", int64(s.MaxOpen)},
+		{"bounds.maxAttempts", int64(c.MaxAttempts)},
+	} {
+		if f.time < 0 {
+			return fmt.Errorf("%s: negative", f.key)
+		}
+		if f.time > maxTime {
+			return fmt.Errorf("%s: over %v", f.key, time.Duration(maxTime))
+		}
+	}
+	return nil
+}
+
+// checkFigures checks that no share or price is negative.
+func (s *Settings) checkFigures() error {
+	c := &s.Module
+	for _, f := range []struct {
+		key    string
+		figure float64
+	}{
+		{"obligations.startCapacity", c.StartCapacity}, {"obligations.fallMultiple", c.FallMultiple},
+		{"prices.crossZone", c.Prices.CrossZone}, {"prices.handshake", c.Prices.Handshake}, {"prices.origin", c.Prices.Fetch},
+	} {
+		if f.figure < 0 {
+			return fmt.Errorf("%s: negative", f.key)
+		}
+	}
+	return nil
+}
+
+// checkReports checks the names of a load report's values.
+func (s *Settings) checkReports() error {
+	c := &s.Module
+	for i, name := range s.GaugeNames {
+		if name == "" || slices.Contains(s.GaugeNames[:i], name) {
+			return fmt.Errorf("report.names[%d]: %q is empty or there twice", i, name)
+		}
+	}
+	if len(c.Gauges) > foxlift.MaxGauges {
+		return fmt.Errorf("report.names: more than %d", foxlift.MaxGauges)
+	}
+	return nil
+}
--- a/internal/config/settings.go
+++ b/internal/config/settings.go
@@ -6,10 +6,7 @@
 	"errors"
 	"fmt"
 	"hash/fnv"
-	"math"
-	"slices"
 	"strings"
-	"time"
 
 	"github.com/vatu-meals/foxlift"
 )
@@ -132,36 +129,11 @@
 			return nil, fmt.Errorf("projects[%d].share: negative, or over 1 with those before it", i)
 		}
 	}
-	b, r := &f.Bounds, &f.Rules
 	s := &Settings{
-		Module: foxlift.Config{
-			Zone:          -1,
-			Dispatchers:   f.Balancers,
-			Index:         f.SlotNo,
-			ListOnRequest: f.Discovery == "subscribe",
-			MustAskIn:     r.MustAskIn,
-			MayCancel:     b.Cancel,
-			MayProbe:      b.Probes,
-			MayCopy:       b.SecondCopies,
-			MayMessage:    b.PeerMessages,
-			MayRetryAfter: b.RetryAfter,
-			MaxRetryAfter: b.MaxRetryAfter,
-			MaxAttempts:   b.MaxAttempts,
-			ConnIdle:      b.ConnIdle,
-			JobsPerConn:   b.StreamsPerConn,
-			StartNotes:    f.Info.TellsStart,
-			AnswerGrace:   r.AnswerGrace,
-			StartCapacity: r.StartCapacity,
-			WarmAfter:     r.WarmAfter,
-			FallMultiple:  r.FallMultiple,
-			FallWindow:    r.Fall,
-			Prices: foxlift.Prices{
-				CrossZone: f.Prices.CrossZone, Handshake: f.Prices.Handshake, Fetch: f.Prices.Origin,
-			},
-		},
+		Module:  f.module(),
 		Classes: map[string]int{}, Tenants: map[string]int{},
 		Zones: index(f.Zones), Kinds: index(f.Kinds),
-		GaugeNames: f.Report.Names, ConnectTimeout: b.ConnectTimeout, MaxOpen: b.MaxOpen, Progress: f.Info.Progress,
+		GaugeNames: f.Report.Names, ConnectTimeout: f.Bounds.ConnectTimeout, MaxOpen: f.Bounds.MaxOpen, Progress: f.Info.Progress,
 		Discovery: f.Discovery, Zone: f.Zone,
 	}
 	c := &s.Module
@@ -171,14 +143,60 @@
 	if strings.Contains(f.Info.MemoryUnit, "one unit for each slot") {
 		c.SlotMemory = 1
 	}
+	if err := s.addClasses(&f); err != nil {
+		return nil, err
+	}
+	for i, p := range f.Tenants {
+		s.Tenants[p.Name] = i
+		c.Tenants = append(c.Tenants, foxlift.Tenant{Name: p.Name, Quota: p.Quota})
+	}
+	for _, name := range f.Report.Names {
+		c.Gauges = append(c.Gauges, gauge(name, f.Info.ReportX0, f.Info.ReportX1))
+	}
+	return s, nil
+}
+
+// module returns the module's configuration, without what has names.
+func (f *settingsFile) module() foxlift.Config {
+	b, r := &f.Bounds, &f.Rules
+	return foxlift.Config{
+		Zone:          -1,
+		Dispatchers:   f.Balancers,
+		Index:         f.SlotNo,
+		ListOnRequest: f.Discovery == "subscribe",
+		MustAskIn:     r.MustAskIn,
+		MayCancel:     b.Cancel,
+		MayProbe:      b.Probes,
+		MayCopy:       b.SecondCopies,
+		MayMessage:    b.PeerMessages,
+		MayRetryAfter: b.RetryAfter,
+		MaxRetryAfter: b.MaxRetryAfter,
+		MaxAttempts:   b.MaxAttempts,
+		ConnIdle:      b.ConnIdle,
+		JobsPerConn:   b.StreamsPerConn,
+		StartNotes:    f.Info.TellsStart,
+		AnswerGrace:   r.AnswerGrace,
+		StartCapacity: r.StartCapacity,
+		WarmAfter:     r.WarmAfter,
+		FallMultiple:  r.FallMultiple,
+		FallWindow:    r.Fall,
+		Prices: foxlift.Prices{
+			CrossZone: f.Prices.CrossZone, Handshake: f.Prices.Handshake, Fetch: f.Prices.Origin,
+		},
+	}
+}
+
+// addClasses adds the classes; an error names what is unknown of one.
+func (s *Settings) addClasses(f *settingsFile) error {
+	c := &s.Module
 	for i, g := range f.Classes {
 		effect, ok := effects[g.Effect]
 		if !ok {
-			return nil, fmt.Errorf("grades[%d]: unknown effect %q", i, g.Effect)
+			return fmt.Errorf("grades[%d]: unknown effect %q", i, g.Effect)
 		}
 		scope, ok := scopes[g.Scope]
 		if !ok {
-			return nil, fmt.Errorf("grades[%d]: unknown dedupScope %q", i, g.Scope)
+			return fmt.Errorf("grades[%d]: unknown dedupScope %q", i, g.Scope)
 		}
 		s.Classes[g.Name] = i
 		c.Classes = append(c.Classes, foxlift.Class{
@@ -187,14 +205,7 @@
 			Kind: at(f.Info.ClassKind, i, -1), Priority: at(f.Info.ClassPriority, i, 0),
 		})
 	}
-	for i, p := range f.Tenants {
-		s.Tenants[p.Name] = i
-		c.Tenants = append(c.Tenants, foxlift.Tenant{Name: p.Name, Quota: p.Quota})
-	}
-	for _, name := range f.Report.Names {
-		c.Gauges = append(c.Gauges, gauge(name, f.Info.ReportX0, f.Info.ReportX1))
-	}
-	return s, nil
+	return nil
 }
 
 func gauge(name, x0, x1 string) foxlift.Gauge {
@@ -292,102 +303,3 @@
 	}
 	return fmt.Errorf("not JSON: %w", err)
 }
-
-// maxTime bounds every time in the settings: sums and multiples of them stay numbers.
-const maxTime = int64(30 * 24 * time.Hour)
-
-// keyMargin is what a repeat of a keyed job may take from its last byte's writing to the node,
-// with what clocks differ by: so much sooner the window counts as over.
-const keyMargin = int64(100 * time.Millisecond)
-
-// checkReal holds the checks that only the real scheduler makes: the simulator's
-// adapter leaves them to the module.
-func (s *Settings) checkReal() error {
-	c := &s.Module
-	switch {
-	case len(c.Classes) == 0:
-		return errors.New("grades: none given")
-	case c.Dispatchers > foxlift.MaxDispatchers:
-		return fmt.Errorf("balancers: over %d", foxlift.MaxDispatchers)
-	case c.Index < 0 || c.Index >= c.Dispatchers:
-		return errors.New("slotNo: not under balancers")
-	case s.Discovery != "" && !slices.Contains(discoveries, s.Discovery):
-		return fmt.Errorf("discovery: %q is not one of %s", s.Discovery, strings.Join(discoveries, ", "))
-	case s.Zone != "" && len(s.Zones) > 0 && c.Zone < 0:
-		return fmt.Errorf("zone: %q is not one of dcs", s.Zone)
-	}
-	if c.StartCapacity > 1 {
-		return errors.New("obligations.startCapacity: over 1")
-	}
-	c.ListOnRequest = true // the protocol has no other way, whatever the simulator's has
-	for i, k := range c.Classes {
-		switch {
-		case k.Name == "":
-			return fmt.Errorf("grades[%d].name: empty", i)
-		case s.Classes[k.Name] != i:
-			return fmt.Errorf("grades[%d].name: %q is there twice", i, k.Name)
-		case k.Aim <= 0:
-			return fmt.Errorf("grades[%d].aim: must be over 0", i)
-		case k.Deadline <= 0:
-			return fmt.Errorf("grades[%d].deadline: must be over 0", i)
-		case k.Stretch < 0:
-			return fmt.Errorf("grades[%d].aimStretch, familyInfo.classStretch[%d]: negative", i, i)
-		case k.KeyTTL < 0:
-			return fmt.Errorf("grades[%d].keyTtl: negative", i)
-		case max(k.Aim, k.Deadline, k.KeyTTL) > maxTime:
-			return fmt.Errorf("grades[%d]: a time of over %v", i, time.Duration(maxTime))
-		case k.Kind < -1 || k.Kind >= max(1, len(s.Kinds)):
-			return fmt.Errorf("familyInfo.classKind[%d]: no such kind", i)
-		}
-	}
-	for i, t := range c.Tenants {
-		if s.Tenants[t.Name] != i {
-			return fmt.Errorf("projects[%d].name: %q is there twice", i, t.Name)
-		}
-		if t.Quota < 0 || math.IsNaN(t.Quota) {
-			return fmt.Errorf("projects[%d].quotaRps: negative", i)
-		}
-	}
-	for _, f := range []struct {
-		key  string
-		time int64
-	}{
-		{"bounds.connectTimeout", s.ConnectTimeout}, {"bounds.connIdle", c.ConnIdle},
-		{"bounds.maxRetryAfter", c.MaxRetryAfter}, {"obligations.graceToAnswer", c.AnswerGrace},
-		{"obligations.mustAskIn", c.MustAskIn}, {"obligations.warmAfter", c.WarmAfter},
-		{"obligations.fall", c.FallWindow}, {"bounds.maxOpen", int64(s.MaxOpen)},
-		{"bounds.maxAttempts", int64(c.MaxAttempts)},
-	} {
-		if f.time < 0 {
-			return fmt.Errorf("%s: negative", f.key)
-		}
-		if f.time > maxTime {
-			return fmt.Errorf("%s: over %v", f.key, time.Duration(maxTime))
-		}
-	}
-	for _, f := range []struct {
-		key    string
-		figure float64
-	}{
-		{"obligations.startCapacity", c.StartCapacity}, {"obligations.fallMultiple", c.FallMultiple},
-		{"prices.crossZone", c.Prices.CrossZone}, {"prices.handshake", c.Prices.Handshake}, {"prices.origin", c.Prices.Fetch},
-	} {
-		if f.figure < 0 {
-			return fmt.Errorf("%s: negative", f.key)
-		}
-	}
-	for i, name := range s.GaugeNames {
-		if name == "" || slices.Contains(s.GaugeNames[:i], name) {
-			return fmt.Errorf("report.names[%d]: %q is empty or there twice", i, name)
-		}
-	}
-	if len(c.Gauges) > foxlift.MaxGauges {
-		return fmt.Errorf("report.names: more than %d", foxlift.MaxGauges)
-	}
-	for i := range c.Classes {
-		if k := &c.Classes[i]; k.Effect == foxlift.Deduplicated {
-			k.KeyTTL = max(0, k.KeyTTL-keyMargin)
-		}
-	}
-	return nil
-}
--- a/internal/lab/mutants.go
+++ b/internal/lab/mutants.go
@@ -65,7 +65,7 @@
 	{"a start in the future is believed", "internal/platform/machines.go", "min(h.Born, now)", "min(h.Born, max(now, h.Born))", "./internal/platform", platformFuzz},
 	{"NaN is a number", "internal/config/sexp.go", "err == nil && n >= least && n <= most {\n\t\t\treturn n\n\t\t}\n\t}\n\tr.fault(v, f.key, \"%s is not a number", "err == nil && !(n < least) && !(n > most) {\n\t\t\treturn n\n\t\t}\n\t}\n\tr.fault(v, f.key, \"%s is not a number", "./internal/config", "^TestFuzz"},
 	{"faults are out of order", "internal/config/operator.go", "\t\treturn nil, r.sorted()", "\t\treturn nil, r.faults", "./internal/config", "^TestFuzz"},
-	{"a negative stretch is taken", "internal/config/settings.go", "case k.Stretch < 0:", "case false:", "./internal/config", "^TestFuzz"},
+	{"a negative stretch is taken", "internal/config/check.go", "case k.Stretch < 0:", "case false:", "./internal/config", "^TestFuzz"},
 }
 
 // CheckMutants applies each mutant to a copy of the module in the current folder and
