One reader of figures, one build aside, one reading of paths; a successor reads what it needs

Cause, on the second read: capacity.poolSize wrote service.Operators.Stats again; RunWithProgram and the command each made a folder to build in; (control) and (list) read an absolute path in the same words; Process.End only called end; control stood beside the table of dimensions as a special case; logSlope was statistics of our own beside gonum; a successor decoded the whole state ten times a second for three fields.

Change: each has one piece now (BuildAside, absolutePath, plan.program, core.Progress, the form of the state is the same JSON).

--- a/bench_scale_test.go
+++ b/bench_scale_test.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"math"
 	"testing"
+
+	"gonum.org/v1/gonum/stat"
 )
 
 // Benchmarks of what a dispatcher does by the number of workers, from the smallest fleet to the one
@@ -77,21 +79,14 @@
 // logSlope fits log y = a + slope * log x by least squares and returns the slope and the root mean
 // square of what is left, in natural logarithms.
 func logSlope(xs, ys []float64) (slope, residual float64) {
-	n := float64(len(xs))
-	var mx, my, sxx, sxy float64
-	for i := range xs {
-		mx += math.Log(xs[i]) / n
-		my += math.Log(ys[i]) / n
-	}
+	var sizes, times []float64
 	for i := range xs {
-		dx, dy := math.Log(xs[i])-mx, math.Log(ys[i])-my
-		sxx += dx * dx
-		sxy += dx * dy
+		sizes, times = append(sizes, math.Log(xs[i])), append(times, math.Log(ys[i]))
 	}
-	slope = sxy / sxx
-	for i := range xs {
-		left := math.Log(ys[i]) - my - slope*(math.Log(xs[i])-mx)
-		residual += left * left / n
+	offset, slope := stat.LinearRegression(sizes, times, nil, false)
+	for i := range sizes {
+		left := times[i] - offset - slope*sizes[i]
+		residual += left * left / float64(len(sizes))
 	}
 	return slope, math.Sqrt(residual)
 }
--- a/cmd/foxlift-lab/capacity.go
+++ b/cmd/foxlift-lab/capacity.go
@@ -71,14 +71,12 @@
 	ctx, stop := signal.NotifyContext(cmd.Context(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
 	if f.Program == "" {
-		dir, err := os.MkdirTemp("", "foxlift-capacity-")
+		program, remove, err := fleet.BuildAside()
 		if err != nil {
 			return err
 		}
-		defer os.RemoveAll(dir)
-		if f.Program, err = fleet.Build(dir); err != nil {
-			return err
-		}
+		defer remove()
+		f.Program = program
 	}
 	if f.faults {
 		f.trial.Program, f.trial.Seed = f.Program, f.Seed
--- a/internal/config/operator.go
+++ b/internal/config/operator.go
@@ -59,19 +59,25 @@
 	return op.ControlSocket, nil
 }
 
+// absolutePath reads a form's one value as an absolute path; "" if it is none.
+func (r *reader) absolutePath(f form) (v *sexp, path string) {
+	v = r.one(f)
+	path = r.text(f, v)
+	if path != "" && !filepath.IsAbs(path) {
+		r.fault(v, f.key, "%q is not an absolute path", path)
+		return v, ""
+	}
+	return v, path
+}
+
 func (r *reader) control(f form, op *Operator) {
 	r.forms(f.key, f.args, map[string]rule{"socket": {read: func(f form) {
-		v := r.one(f)
-		path := r.text(f, v)
-		switch {
-		case path == "":
-		case !filepath.IsAbs(path):
-			r.fault(v, f.key, "%q is not an absolute path", path)
-		case len(path) > maxSocketPath:
+		v, path := r.absolutePath(f)
+		if len(path) > maxSocketPath {
 			r.fault(v, f.key, "a socket's path holds %d bytes at most", maxSocketPath)
-		default:
-			op.ControlSocket = path
+			return
 		}
+		op.ControlSocket = path
 	}}})
 	if len(f.args) == 0 {
 		r.fault(f.at, f.key, "socket is missing")
@@ -80,15 +86,7 @@
 
 func (r *reader) list(f form, op *Operator) {
 	r.forms(f.key, f.args, map[string]rule{"checkpoint": {read: func(f form) {
-		v := r.one(f)
-		path := r.text(f, v)
-		switch {
-		case path == "":
-		case !filepath.IsAbs(path):
-			r.fault(v, f.key, "%q is not an absolute path", path)
-		default:
-			op.ListCheckpoint = path
-		}
+		_, op.ListCheckpoint = r.absolutePath(f)
 	}}})
 	if len(f.args) == 0 {
 		r.fault(f.at, f.key, "checkpoint is missing")
--- a/internal/core/handover.go
+++ b/internal/core/handover.go
@@ -9,13 +9,18 @@
 // A State is what one process of a scheduler hands over to the next: what its decision modules have
 // learned, and what must not be done twice. It can be written as JSON.
 type State struct {
-	At      int64                        // when it was so, in Unix nanoseconds
+	Progress
 	Modules map[string]*foxlift.Snapshot // by the cell's name, "" without cells
-	Open    int                          // jobs taken and not yet answered
-	Out     map[string]float64           // slots of claims that have not ended, by node
 	IDs     []string                     // of jobs that must not run twice, open or answered not long ago
 }
 
+// A Progress is the part of a State that the next process looks at again and again.
+type Progress struct {
+	At   int64              // when it was so, in Unix nanoseconds
+	Open int                // jobs taken and not yet answered
+	Out  map[string]float64 // slots of claims that have not ended, by node
+}
+
 // State returns what another process would have to know to go on from here.
 func (c *Core) State(ctx context.Context) (s *State, err error) {
 	err = c.operate(ctx, func(c *Core) { s = c.state() })
@@ -23,7 +28,10 @@
 }
 
 func (c *Core) state() *State {
-	s := &State{At: c.clock.Now(), Open: len(c.open), Modules: map[string]*foxlift.Snapshot{}, Out: map[string]float64{}}
+	s := &State{
+		Progress: Progress{At: c.clock.Now(), Open: len(c.open), Out: map[string]float64{}},
+		Modules:  map[string]*foxlift.Snapshot{},
+	}
 	for _, cl := range c.cells {
 		if !cl.retired {
 			s.Modules[cl.name] = cl.module.Snapshot()
--- a/internal/daemon/upgrade.go
+++ b/internal/daemon/upgrade.go
@@ -115,7 +115,8 @@
 
 // loadState goes on from what the older process has learned, if that can be read.
 func (d *Daemon) loadState() {
-	state, err := d.readState()
+	state := &core.State{}
+	err := d.loadFresh(state, &state.Progress)
 	if err == nil {
 		ctx, cancel := context.WithTimeout(context.Background(), stateLimit)
 		defer cancel()
@@ -130,15 +131,15 @@
 // errOld means that a state was left by a process that is no more.
 var errOld = errors.New("the state of the older process is old")
 
-func (d *Daemon) readState() (*core.State, error) {
-	state := &core.State{}
+// loadFresh reads the older process's state, or a part of it that holds its progress.
+func (d *Daemon) loadFresh(state any, progress *core.Progress) error {
 	if err := d.place.Load(state); err != nil {
-		return nil, err
+		return err
 	}
-	if age := time.Since(time.Unix(0, state.At)); age < -stateAge || age > stateAge {
-		return nil, errOld
+	if age := time.Since(time.Unix(0, progress.At)); age < -stateAge || age > stateAge {
+		return errOld
 	}
-	return state, nil
+	return nil
 }
 
 // saveState writes what a successor needs.
@@ -210,12 +211,12 @@
 	if time.Since(d.started) >= settleLimit {
 		d.settled.Store(true)
 	}
-	state, err := d.readState()
-	if err != nil {
+	var older core.Progress // the rest is taken once, at the start
+	if err := d.loadFresh(&older, &older); err != nil {
 		return
 	}
-	d.Core.SetOthers(state.Out)
-	if relieved := time.Unix(0, state.At).Sub(d.listened); relieved > settleLeast && state.Open == 0 {
+	d.Core.SetOthers(older.Out)
+	if relieved := time.Unix(0, older.At).Sub(d.listened); relieved > settleLeast && older.Open == 0 {
 		d.settled.Store(true)
 	}
 }
--- a/internal/lab/capacity/capacity_test.go
+++ b/internal/lab/capacity/capacity_test.go
@@ -245,7 +245,7 @@
 func TestInterruptedRunEndsItsProcesses(t *testing.T) {
 	ctx, cancel := context.WithTimeout(t.Context(), time.Second)
 	defer cancel()
-	if _, err := measureControl(ctx, plan{short: true, runs: 1}, program); !errors.Is(err, context.DeadlineExceeded) {
+	if _, err := measureControl(ctx, plan{short: true, runs: 1, program: program}); !errors.Is(err, context.DeadlineExceeded) {
 		t.Errorf("ended with %v", err)
 	}
 	procs, err := procfs.AllProcs()
--- a/internal/lab/capacity/control.go
+++ b/internal/lab/capacity/control.go
@@ -4,18 +4,15 @@
 	"context"
 	"errors"
 	"fmt"
-	"io"
-	"net/http"
 	"strings"
 	"time"
 
-	"github.com/prometheus/common/expfmt"
-	"github.com/prometheus/common/model"
 	"github.com/prometheus/procfs"
 	"golang.org/x/sync/errgroup"
 
 	"github.com/vatu-meals/foxlift/internal/lab"
 	"github.com/vatu-meals/foxlift/internal/lab/fleet"
+	"github.com/vatu-meals/foxlift/internal/lab/service"
 	"github.com/vatu-meals/foxlift/internal/standin"
 )
 
@@ -100,10 +97,16 @@
 	return all
 }
 
+// controlProcesses is how many processes measureControl runs at a time.
+func controlProcesses(p plan) int { return len(variants) * len(p.sizes(controlSizes...)) }
+
+// controlSizes are the workers of the lists that processes follow.
+var controlSizes = []int{190, 600, 1900, 6000, TargetWorkers}
+
 // measureControl measures a process of the program at each number of workers, with and without a list
 // that is kept.
-func measureControl(ctx context.Context, p plan, program string) (all []Series, err error) {
-	sizes := p.sizes(190, 600, 1900, 6000, TargetWorkers)
+func measureControl(ctx context.Context, p plan) (all []Series, err error) {
+	sizes := p.sizes(controlSizes...)
 	results := make([][][]controlled, len(variants)) // by variant, size and run
 	for i := range results {
 		results[i] = make([][]controlled, len(sizes))
@@ -113,7 +116,7 @@
 		for i, v := range variants {
 			for k, workers := range sizes {
 				group.Go(func() error {
-					c, err := runControl(ctx, p, program, v.operator, workers)
+					c, err := runControl(ctx, p, v.operator, workers)
 					if err != nil {
 						return fmt.Errorf("%s at %d workers: %w", v.prefix, workers, err)
 					}
@@ -161,8 +164,8 @@
 }
 
 // runControl runs one process with so many hollow workers.
-func runControl(ctx context.Context, p plan, program, operator string, workers int) (c controlled, err error) {
-	f, err := fleet.New(fleet.Options{World: controlWorld(), Program: program, Admin: true, Operator: operator})
+func runControl(ctx context.Context, p plan, operator string, workers int) (c controlled, err error) {
+	f, err := fleet.New(fleet.Options{World: controlWorld(), Program: p.program, Admin: true, Operator: operator})
 	if err != nil {
 		return c, err
 	}
@@ -269,9 +272,11 @@
 
 // awaitPool waits until a process knows so many workers.
 func awaitPool(ctx context.Context, p *fleet.Process, workers int) error {
-	known, err := 0, errors.New("never asked")
+	var figures service.Figures
+	var err error
+	operators := service.Operators{Addr: p.Admin}
 	for end := time.Now().Add(toldLimit); time.Now().Before(end); {
-		if known, err = poolSize(p.Admin); err == nil && known == workers {
+		if figures, err = operators.Stats(ctx); err == nil && int(figures.PoolSize) == workers {
 			return nil
 		}
 		select {
@@ -282,25 +287,5 @@
 		case <-time.After(toldPause):
 		}
 	}
-	return fmt.Errorf("%w: %d of %d workers (%v)", errNotTold, known, workers, err)
-}
-
-// poolSize asks a process for the number of workers that it knows.
-func poolSize(admin string) (int, error) {
-	client := http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
-	response, err := client.Get("http://" + admin + "/admin/stats")
-	if err != nil {
-		return 0, err
-	}
-	defer response.Body.Close()
-	parser := expfmt.NewTextParser(model.UTF8Validation)
-	families, err := parser.TextToMetricFamilies(io.LimitReader(response.Body, 1<<20))
-	if err != nil {
-		return 0, err
-	}
-	family := families["scheduler_pool_size"]
-	if family == nil || len(family.Metric) == 0 {
-		return 0, missingError("scheduler_pool_size")
-	}
-	return int(family.Metric[0].GetGauge().GetValue() + family.Metric[0].GetUntyped().GetValue()), nil
+	return fmt.Errorf("%w: %v of %d workers (%v)", errNotTold, figures.PoolSize, workers, err)
 }
--- a/internal/lab/capacity/dimension.go
+++ b/internal/lab/capacity/dimension.go
@@ -5,13 +5,15 @@
 	"errors"
 	"fmt"
 	"slices"
+	"strings"
 )
 
 // A plan says at which sizes a run measures.
 type plan struct {
-	short bool
-	runs  int // at each size
-	seed  uint64
+	short   bool
+	runs    int // at each size
+	seed    uint64
+	program string // the scheduler's binary
 }
 
 // sizes returns the sizes of a dimension: all, or the first few of a short run.
@@ -24,47 +26,48 @@
 
 // A dimension measures some costs by one size.
 type dimension struct {
-	name    string
-	measure func(context.Context, plan) ([]Series, error)
+	name      string
+	measure   func(context.Context, plan) ([]Series, error)
+	processes func(plan) int // that run at a time; nil: none
 }
 
 // dimensions are all that can be measured, in the order of a whole run.
 var dimensions = []dimension{
-	{"workers", measureWorkers},
-	{"schedulers", measureSchedulers},
-	{"tasks", measureTasks},
-	{"teams", measureTeams},
-	{"configuration", measureConfiguration},
-	{"urgent", measureUrgent},
-	{"gangs", measureGangs},
+	{name: "workers", measure: measureWorkers},
+	{name: "schedulers", measure: measureSchedulers},
+	{name: "tasks", measure: measureTasks},
+	{name: "teams", measure: measureTeams},
+	{name: "configuration", measure: measureConfiguration},
+	{name: "urgent", measure: measureUrgent},
+	{name: "gangs", measure: measureGangs},
+	{name: "control", measure: measureControl, processes: controlProcesses},
 }
 
-// control needs the scheduler's binary.
-const controlDimension = "control"
-
 // errUnknown says that there is no such dimension.
 var errUnknown = errors.New("unknown dimension")
 
-// names returns the names of all dimensions.
-func names() (ns []string) {
-	for _, d := range dimensions {
-		ns = append(ns, d.name)
-	}
-	return append(ns, controlDimension)
-}
-
-// choose returns the dimensions that are asked for, all if none is.
-func choose(asked []string) ([]string, error) {
-	all := names()
+// choose returns the dimensions that are asked for by name, all if none is.
+func choose(asked []string) (chosen []dimension, err error) {
 	if len(asked) == 0 {
-		return all, nil
+		return dimensions, nil
 	}
 	for _, name := range asked {
-		if !slices.Contains(all, name) {
-			return nil, fmt.Errorf("%w %q; there are %v", errUnknown, name, all)
+		i := slices.IndexFunc(dimensions, func(d dimension) bool { return d.name == name })
+		if i < 0 {
+			return nil, fmt.Errorf("%w %q; there are %s", errUnknown, name, names())
 		}
+		chosen = append(chosen, dimensions[i])
+	}
+	return chosen, nil
+}
+
+// names returns the names of all dimensions.
+func names() string {
+	var ns []string
+	for _, d := range dimensions {
+		ns = append(ns, d.name)
 	}
-	return asked, nil
+	return strings.Join(ns, ", ")
 }
 
 // A gauge measures one cost at one size.
--- a/internal/lab/capacity/figures.go
+++ b/internal/lab/capacity/figures.go
@@ -54,8 +54,6 @@
 	nanosAMicro = 1e3
 	nanosAMilli = 1e6
 	percent     = 100
-	kilobyte    = bytesOfAKilobyte
-	megabyte    = bytesOfAKilobyte * bytesOfAKilobyte
 )
 
 // newFigures computes all figures from what was measured.
@@ -159,7 +157,7 @@
 	fs.add(group, "watch_calls", fs.series("discovery.watch_calls").at(n), "calls/s", "`discovery.watch_calls` at schedulers_chosen, by the slope")
 	peak := fs.add(group, "start_calls", fs.series("discovery.start_peak").at(n), "calls/s", "`discovery.start_peak` at schedulers_chosen, by the slope: the worst second of a start of all")
 	region := fs.add(group, "region_calls", fs.series("discovery.start_peak").at(fs.value("schedulers_of_region")), "calls/s", "the same at schedulers_of_region")
-	list := fs.value("list_size") / bytesOfAKilobyte
+	list := fs.value("list_size") / kilobyte
 	fs.add(group, "start_traffic", peak*list, "MB/s", "start_calls × list_size: what the lists of a start of all come to in the worst second")
 	fs.add(group, "region_traffic", region*list, "MB/s", "region_calls × list_size")
 	fs.add(group, "change_traffic", n*fs.value("changes_traffic"), "KB/s", "schedulers_chosen × changes_traffic")
--- a/internal/lab/capacity/run.go
+++ b/internal/lab/capacity/run.go
@@ -5,7 +5,6 @@
 	"errors"
 	"fmt"
 	"io"
-	"math"
 	"os/exec"
 	"runtime"
 	"strings"
@@ -47,21 +46,21 @@
 	if r.Machine, err = machineMemory(); err != nil {
 		return nil, err
 	}
-	p := plan{short: o.Short, runs: runsADimension, seed: o.Seed}
-	for _, name := range chosen {
+	p := plan{short: o.Short, runs: runsADimension, seed: o.Seed, program: o.Program}
+	for _, d := range chosen {
 		began := time.Now()
-		series, err := measure(ctx, name, p, o.Program)
+		series, err := d.measure(ctx, p)
 		if err != nil {
 			return nil, err
 		}
-		if name == controlDimension {
-			r.Processes = len(variants) * len(series[0].Points)
+		if d.processes != nil {
+			r.Processes = max(r.Processes, d.processes(p))
 		}
 		r.Series = append(r.Series, series...)
 		for i := range series {
 			fmt.Fprintln(out, series[i].line())
 		}
-		fmt.Fprintf(out, "%s: %.1f s\n", name, time.Since(began).Seconds())
+		fmt.Fprintf(out, "%s: %.1f s\n", d.name, time.Since(began).Seconds())
 		if err := r.noteMemory(); err != nil {
 			return nil, err
 		}
@@ -69,19 +68,6 @@
 	return r, nil
 }
 
-// measure runs one dimension.
-func measure(ctx context.Context, name string, p plan, program string) ([]Series, error) {
-	if name == controlDimension {
-		return measureControl(ctx, p, program)
-	}
-	for _, d := range dimensions {
-		if d.name == name {
-			return d.measure(ctx, p)
-		}
-	}
-	return nil, fmt.Errorf("%w %q", errUnknown, name)
-}
-
 // line tells a series in one line.
 func (s *Series) line() string {
 	var points []string
@@ -121,7 +107,7 @@
 		r.Dimensions, slopes, worst, carried, lines, wall, gigabytes(r.Memory), gigabytes(r.Machine), r.Processes)
 }
 
-func gigabytes(bytes float64) float64 { return bytes / math.Pow(bytesOfAKilobyte, 3) }
+func gigabytes(bytes float64) float64 { return bytes / (kilobyte * megabyte) }
 
 // machineMemory returns the machine's memory in bytes.
 func machineMemory() (float64, error) {
--- a/internal/lab/capacity/target.go
+++ b/internal/lab/capacity/target.go
@@ -30,12 +30,13 @@
 
 // What is not in the users' figures and has to be assumed.
 const (
-	assumedRack      = 40      // workers of a rack
-	assumedKinds     = 4       // kinds of worker, of even size
-	processSockets   = 1024    // descriptors of a scheduler process
-	spareSockets     = 16      // part of them that stays spare: one in so many
-	socketsOfATask   = 2       // a running task holds a connection on each side
-	secondsADay      = 86_400  // for rates
-	peakOverMean     = 20      // configuration changes in the peak minute over the mean
-	bytesOfAKilobyte = 1 << 10 // KB and MB are binary, as the platform's limits are
+	assumedRack    = 40      // workers of a rack
+	assumedKinds   = 4       // kinds of worker, of even size
+	processSockets = 1024    // descriptors of a scheduler process
+	spareSockets   = 16      // part of them that stays spare: one in so many
+	socketsOfATask = 2       // a running task holds a connection on each side
+	secondsADay    = 86_400  // for rates
+	peakOverMean   = 20      // configuration changes in the peak minute over the mean
+	kilobyte       = 1 << 10 // KB and MB are binary, as the platform's limits are
+	megabyte       = kilobyte * kilobyte
 )
--- a/internal/lab/fleet/fleet.go
+++ b/internal/lab/fleet/fleet.go
@@ -295,7 +295,7 @@
 
 // EndAll ends the processes with SIGTERM and returns what they ended with.
 func (f *Fleet) EndAll() error {
-	return f.each((*Process).end)
+	return f.each((*Process).End)
 }
 
 func (f *Fleet) each(do func(p *Process) error) error {
--- a/internal/lab/fleet/process.go
+++ b/internal/lab/fleet/process.go
@@ -147,10 +147,7 @@
 }
 
 // End ends the process with SIGTERM and waits for its end.
-func (p *Process) End() error { return p.end() }
-
-// end ends the process with SIGTERM and waits for its end.
-func (p *Process) end() error {
+func (p *Process) End() error {
 	if p.Signal(syscall.SIGTERM) != nil {
 		return nil
 	}
