--- /dev/null
+++ b/api_names.go
@@ -0,0 +1,25 @@
+package foxlift
+
+import "strconv"
+
+// Names of the module's values, for logs.
+
+var codeNames = [...]string{
+	Served: "served", Erred: "error", Full: "turned away", TimedOut: "timed out", Unreachable: "unreachable",
+	Reset: "reset", Cancelled: "cancelled", NotSent: "not sent", Blamed: "blamed",
+}
+
+// String implements fmt.Stringer.
+func (c Code) String() string { return nameOf(codeNames[:], int(c)) }
+
+var workerStateNames = [...]string{Live: "live", Draining: "draining", Gone: "gone"}
+
+// String implements fmt.Stringer.
+func (s WorkerState) String() string { return nameOf(workerStateNames[:], int(s)) }
+
+func nameOf(names []string, i int) string {
+	if i < len(names) {
+		return names[i]
+	}
+	return strconv.Itoa(i)
+}
--- a/internal/lab/fleet/link.go
+++ b/internal/lab/fleet/link.go
@@ -6,6 +6,8 @@
 	"net"
 	"sync"
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
 // A Way is a direction of a link.
@@ -26,9 +28,9 @@
 	refuses bool
 	silent  [2]bool
 	delay   [2]time.Duration
-	rate    int           // bytes a second of each direction; 0: no bound
-	changed chan struct{} // closed and replaced at each change
-	open    map[net.Conn]bool
+	rate    int               // bytes a second of each direction; 0: no bound
+	changed chan struct{}     // closed and replaced at each change
+	open    map[net.Conn]bool // true: the scheduler's side of a connection
 	closed  bool
 	carried [2]int64 // bytes that each way has passed on
 	wait    sync.WaitGroup
@@ -79,6 +81,24 @@
 	return l.carried[way]
 }
 
+// Waiting returns how many bytes from the scheduler wait to be passed on.
+func (l *Link) Waiting() (sum int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for c, toScheduler := range l.open {
+		if !toScheduler {
+			continue
+		}
+		if raw, err := c.(*net.TCPConn).SyscallConn(); err == nil {
+			raw.Control(func(fd uintptr) {
+				n, _ := unix.IoctlGetInt(int(fd), unix.TIOCINQ)
+				sum += n
+			})
+		}
+	}
+	return sum
+}
+
 func (l *Link) count(way Way, bytes int) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -112,7 +132,7 @@
 }
 
 // hold opens a connection's place, unless the link takes none.
-func (l *Link) hold(c net.Conn) bool {
+func (l *Link) hold(c net.Conn, toScheduler bool) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.refuses || l.closed {
@@ -120,7 +140,7 @@
 		c.Close()
 		return false
 	}
-	l.open[c] = true
+	l.open[c] = toScheduler
 	return true
 }
 
@@ -137,7 +157,7 @@
 		if err != nil {
 			return
 		}
-		if l.hold(c) {
+		if l.hold(c, true) {
 			l.wait.Go(func() { l.join(c) })
 		}
 	}
@@ -151,7 +171,7 @@
 		c.(*net.TCPConn).SetLinger(0) // as it would have been refused
 		return
 	}
-	if !l.hold(d) {
+	if !l.hold(d, false) {
 		return
 	}
 	defer l.drop(d)
@@ -165,6 +185,9 @@
 	defer to.(*net.TCPConn).CloseWrite()
 	buf := make([]byte, 16<<10)
 	for {
+		if !l.mayPass(way, 0) { // what a silent way has not taken can still be withdrawn with a reset
+			return
+		}
 		n, err := from.Read(buf)
 		if n > 0 {
 			if !l.mayPass(way, n) {
--- a/internal/platform/attempt.go
+++ b/internal/platform/attempt.go
@@ -34,13 +34,17 @@
 	until   time.Time // the submitter waits until then
 	writeBy time.Time // the last byte is written by then or never; zero: no such limit
 	report  func(core.Report)
+	trace   attemptTrace
 }
 
 func (a *attempt) run() {
-	a.report(a.carryOut())
+	r := a.carryOut()
+	a.trace.log(a.nodes.log, a, a.nodes.stateOf(a.node), r)
+	a.report(r)
 }
 
 func (a *attempt) carryOut() core.Report {
+	a.trace.began = time.Now()
 	to, ok := a.nodes.find(a.node)
 	if !ok {
 		return ended(foxlift.NotSent)
@@ -49,6 +53,7 @@
 	if conn == nil {
 		return ended(code)
 	}
+	a.trace.connected, a.trace.reused = time.Now(), !conn.since.IsZero()
 	// The list may have changed since the module decided, above all during a
 	// dial: nothing new goes to a node that drains or is gone.
 	if !a.stands(to) {
@@ -56,7 +61,11 @@
 		return ended(foxlift.NotSent)
 	}
 	// Withdrawing closes the connection: so the node learns of it.
-	stop := context.AfterFunc(a.ctx, func() { conn.Close() })
+	stop := context.AfterFunc(a.ctx, func() {
+		a.trace.withdrawn.Store(true)
+		a.trace.unacked.Store(unsent(conn.Conn))
+		conn.Close()
+	})
 	r, reusable := a.exchange(conn, to)
 	if !stop() || !reusable {
 		a.nodes.discard(conn)
@@ -80,6 +89,7 @@
 	if code := conn.deliver(a.request(), a.nodes.holdTime(conn, a.job.Class), a.writeBy, may); code != foxlift.Served {
 		return ended(code), false
 	}
+	a.trace.written = time.Now()
 	a.nodes.counters.Add(counters.ClaimsWritten)
 	return a.receive(conn)
 }
@@ -92,6 +102,7 @@
 	if err != nil {
 		return ended(foxlift.Reset), false
 	}
+	a.trace.answered = time.Now()
 	if resp.StatusCode != http.StatusOK {
 		_, err := io.Copy(io.Discard, resp.Body)
 		r := ended(statusCode(resp))
--- a/internal/platform/machines.go
+++ b/internal/platform/machines.go
@@ -160,6 +160,16 @@
 	return e, ok && e.state == foxlift.Live
 }
 
+// stateOf returns what the list says of a node; one that it does not name is gone.
+func (m *machines) stateOf(node string) foxlift.WorkerState {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if e, ok := m.entries[node]; ok {
+		return e.state
+	}
+	return foxlift.Gone
+}
+
 // waitEndLocked returns until when a claim that has waited since began waits for an answer to be
 // in the list. While it is being read, the wait goes on: a long list takes its time.
 func (m *machines) waitEndLocked(began time.Time) time.Time {
--- a/internal/platform/nodes.go
+++ b/internal/platform/nodes.go
@@ -9,6 +9,8 @@
 	"syscall"
 	"time"
 
+	"go.uber.org/zap"
+
 	"github.com/vatu-meals/foxlift"
 	"github.com/vatu-meals/foxlift/internal/config"
 	"github.com/vatu-meals/foxlift/internal/core"
@@ -24,7 +26,9 @@
 
 // nodes holds the connections to execute nodes. It implements core.Nodes.
 type nodes struct {
-	find      func(node string) (machine, bool) // a node's entry, if new work may go there now
+	find      func(node string) (machine, bool)     // a node's entry, if new work may go there now
+	stateOf   func(node string) foxlift.WorkerState // what the list says of a node
+	log       *zap.Logger
 	counters  *counters.Set
 	connect   time.Duration // most that a dial may take
 	idleLimit time.Duration // after which an idle connection is dropped
@@ -48,9 +52,9 @@
 	began time.Time   // when it was opened
 }
 
-func newNodes(list *machines, s *config.Settings, set *counters.Set, budget int) *nodes {
+func newNodes(list *machines, s *config.Settings, set *counters.Set, log *zap.Logger, budget int) *nodes {
 	n := &nodes{
-		find: list.find, counters: set, connect: defaultConnect, idleLimit: defaultIdle, budget: budget,
+		find: list.find, stateOf: list.stateOf, log: log, counters: set, connect: defaultConnect, idleLimit: defaultIdle, budget: budget,
 		loads: loads{s.GaugeNames, set}, idle: map[string][]*nodeConn{},
 		repeatable: map[string]bool{},
 	}
--- a/internal/standin/discovery.go
+++ b/internal/standin/discovery.go
@@ -54,6 +54,7 @@
 	calls   Calls
 	seconds map[int64]int
 	first   map[string]time.Time // first answer to each view
+	told    map[string]int       // version of the last answer to each view
 }
 
 // StartDiscovery starts a discovery that knows these nodes.
@@ -68,7 +69,7 @@
 func DiscoveryOn(l net.Listener, nodes ...*Node) *Discovery {
 	d := &Discovery{
 		changed: make(chan struct{}), turn: make(chan struct{}, 1), at: map[string]int{}, places: map[string]int{},
-		seconds: map[int64]int{}, first: map[string]time.Time{},
+		seconds: map[int64]int{}, first: map[string]time.Time{}, told: map[string]int{},
 	}
 	for _, n := range nodes {
 		d.Put(n, "active")
@@ -203,6 +204,7 @@
 		if d.first[view].IsZero() {
 			d.first[view] = time.Now()
 		}
+		d.told[view] = list.Version
 		d.mu.Unlock()
 	}
 	return err == nil
@@ -280,6 +282,13 @@
 	return at
 }
 
+// Told returns the version of the last answer that was written to a view.
+func (d *Discovery) Told(view string) int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.told[view]
+}
+
 // Known returns the list as a scheduler's configuration has it.
 func (d *Discovery) Known() []byte { return d.KnownAt(nil) }
 
--- a/internal/standin/node.go
+++ b/internal/standin/node.go
@@ -25,6 +25,7 @@
 type Server struct {
 	net.Listener
 	Got, Conns atomic.Int64 // requests and connections
+	lastBegun  atomic.Int64 // when the first byte of the last request came, Unix time in nanoseconds
 
 	mu   sync.Mutex
 	open map[net.Conn]bool
@@ -57,6 +58,10 @@
 		s.mu.Unlock()
 	}()
 	for br := bufio.NewReader(c); ; {
+		if _, err := br.Peek(1); err != nil {
+			return
+		}
+		s.lastBegun.Store(time.Now().UnixNano())
 		r, err := http.ReadRequest(br)
 		if err != nil {
 			return
@@ -73,6 +78,9 @@
 	}
 }
 
+// LastBegun returns when the first byte of the last request came, also of one that was not whole.
+func (s *Server) LastBegun() time.Time { return time.Unix(0, s.lastBegun.Load()) }
+
 // Reset ends all connections as a process that dies does.
 func (s *Server) Reset() {
 	s.mu.Lock()
@@ -226,6 +234,9 @@
 // were turned away. Probes are none.
 func (n *Node) Requests() int64 { return n.requests.Load() }
 
+// LastBegun returns when the first byte of the last request came, also of one that was not whole.
+func (n *Node) LastBegun() time.Time { return n.server.LastBegun() }
+
 // Runs returns how often each job was begun here.
 func (n *Node) Runs() map[string]int {
 	n.mu.Lock()
