--- a/internal/platform/attempt.go
+++ b/internal/platform/attempt.go
@@ -39,7 +39,9 @@
 
 func (a *attempt) run() {
 	r := a.carryOut()
-	a.trace.log(a.nodes.log, a, a.nodes.stateOf(a.node), r)
+	if a.nodes.log != nil {
+		a.trace.log(a.nodes.log, a, a.nodes.stateOf(a.node), r)
+	}
 	a.report(r)
 }
 
