An attempt without an answer ends with a reset once the list takes its node off

Lines at fault: platform/attempt.go, receive waits for the answer with no eye on the list, and a withdrawn attempt's connection was closed, which leaves its bytes to the kernel to deliver.

On nodes that drain only where nodes are seen to answer before they start a job, or bytes are unacknowledged. Withdrawn attempts too are reset while no answer has begun.

--- a/internal/lab/fleet/link.go
+++ b/internal/lab/fleet/link.go
@@ -185,14 +185,26 @@
 	defer to.(*net.TCPConn).CloseWrite()
 	buf := make([]byte, 16<<10)
 	for {
-		if !l.mayPass(way, 0) { // what a silent way has not taken can still be withdrawn with a reset
+		waited := l.silentNow(way)
+		if !l.mayPass(way, 0) {
 			return
 		}
-		n, err := from.Read(buf)
+		n, err := 0, error(nil)
+		if !waited || !wasReset(from) {
+			n, err = from.Read(buf)
+		}
 		if n > 0 {
+			waited = waited || l.silentNow(way)
 			if !l.mayPass(way, n) {
 				return
 			}
+		}
+		if waited && wasReset(from) { // what a silent way holds back can still be withdrawn with a reset
+			to.(*net.TCPConn).SetLinger(0)
+			to.Close()
+			return
+		}
+		if n > 0 {
 			if _, err := to.Write(buf[:n]); err != nil {
 				return
 			}
@@ -209,6 +221,27 @@
 	}
 }
 
+// silentNow reports whether a way is silent.
+func (l *Link) silentNow(way Way) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.silent[way]
+}
+
+// wasReset reports whether the other side has reset a connection. The kernel still hands out what came before.
+func wasReset(c net.Conn) (reset bool) {
+	raw, err := c.(*net.TCPConn).SyscallConn()
+	if err != nil {
+		return true
+	}
+	err = raw.Control(func(fd uintptr) {
+		p := []unix.PollFd{{Fd: int32(fd)}}
+		n, err := unix.Poll(p, 0)
+		reset = err == nil && n > 0 && p[0].Revents&unix.POLLERR != 0
+	})
+	return reset || err != nil
+}
+
 // mayPass waits until so many bytes may go a way; false once the link is closed.
 func (l *Link) mayPass(way Way, bytes int) bool {
 	var due time.Time
--- a/internal/platform/attempt.go
+++ b/internal/platform/attempt.go
@@ -13,6 +13,7 @@
 	"os"
 	"slices"
 	"strings"
+	"sync"
 	"time"
 
 	"golang.org/x/sys/unix"
@@ -35,6 +36,9 @@
 	writeBy time.Time // the last byte is written by then or never; zero: no such limit
 	report  func(core.Report)
 	trace   attemptTrace
+
+	mu         sync.Mutex
+	unanswered *nodeConn // its connection, from before the first byte is written until the answer begins
 }
 
 func (a *attempt) run() {
@@ -47,6 +51,8 @@
 
 func (a *attempt) carryOut() core.Report {
 	a.trace.began = time.Now()
+	a.nodes.out.add(a)
+	defer a.nodes.out.remove(a)
 	to, ok := a.nodes.find(a.node)
 	if !ok {
 		return ended(foxlift.NotSent)
@@ -66,17 +72,58 @@
 	stop := context.AfterFunc(a.ctx, func() {
 		a.trace.withdrawn.Store(true)
 		a.trace.unacked.Store(unsent(conn.Conn))
+		a.resetUnanswered()
 		conn.Close()
 	})
+	a.awaitAnswer(conn)
 	r, reusable := a.exchange(conn, to)
 	if !stop() || !reusable {
+		a.resetUnanswered()
 		a.nodes.discard(conn)
 	} else {
+		a.awaitAnswer(nil)
 		a.nodes.keep(conn)
 	}
 	return r
 }
 
+// awaitAnswer notes the connection on which the attempt's answer is awaited; nil once it has begun.
+func (a *attempt) awaitAnswer(conn *nodeConn) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.unanswered = conn
+}
+
+// resetUnanswered ends the attempt's connection with a reset if no answer has begun: what is still on its
+// way then never arrives. It reports whether there was such a connection.
+func (a *attempt) resetUnanswered() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.unanswered == nil {
+		return false
+	}
+	a.unanswered.reset()
+	a.unanswered = nil
+	return true
+}
+
+// nodeOffList ends the attempt, whose node has gone off the list, unless its answer has begun.
+func (a *attempt) nodeOffList(state foxlift.WorkerState) {
+	if state == foxlift.Draining && !a.nodes.earlyAnswers.Load() && !a.unsentRequest() {
+		return // its request may wait there: such nodes answer when the job starts
+	}
+	if a.resetUnanswered() {
+		a.nodes.counters.Add("claims.unanswered_off_list")
+	}
+}
+
+// unsentRequest reports whether some of the request has not reached the node's machine.
+func (a *attempt) unsentRequest() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.unanswered != nil && unsent(a.unanswered.Conn)
+}
+
 // stands reports whether the claim is still to be begun: the list has its node as it was, and
 // the submitter is there. Settings may forbid to cancel what has begun; this has not.
 func (a *attempt) stands(to machine) bool {
@@ -105,6 +152,7 @@
 		return ended(foxlift.Reset), false
 	}
 	a.trace.answered = time.Now()
+	a.awaitAnswer(nil)
 	if resp.StatusCode != http.StatusOK {
 		_, err := io.Copy(io.Discard, resp.Body)
 		r := ended(statusCode(resp))
@@ -290,6 +338,10 @@
 	return false
 }
 
+// earlyAnswer is how long an answer has begun before the job starts where nodes answer as soon as they have
+// taken a request, not when they start on it.
+const earlyAnswer = 20 * time.Millisecond
+
 var lastStates = map[string]foxlift.Code{
 	stateDone: foxlift.Served, stateFailed: foxlift.Erred,
 	stateReturned: foxlift.Full, stateLost: foxlift.Reset,
@@ -322,6 +374,9 @@
 			}
 			last.Load, last.HasLoad = a.nodes.loads.object(n.Load)
 		case n.State == stateStarted:
+			if time.Since(a.trace.answered) > earlyAnswer {
+				a.nodes.earlyAnswers.Store(true)
+			}
 			a.report(core.Report{})
 		case n.State == stateRunning:
 			a.report(core.Report{Progress: true})
--- a/internal/platform/attempt_trace.go
+++ b/internal/platform/attempt_trace.go
@@ -26,16 +26,20 @@
 // The last byte's hold is a few milliseconds.
 const slowWrite = 100 * time.Millisecond
 
+// slowAnswer is how long a node may take to begin its answer once it has the whole request.
+const slowAnswer = 3 * time.Second
+
 // log writes a line for an attempt that met what should be rare: its node was taken off the list, or
-// began to drain, before its answer began, or its request could not be written at once.
+// began to drain, before its answer began, or its request could not be written or was not answered at once.
 func (t *attemptTrace) log(log *zap.Logger, a *attempt, state foxlift.WorkerState, r core.Report) {
 	end := time.Now()
+	late := !t.written.IsZero() && t.stepEnd(t.answered, end).Sub(t.written) > slowAnswer
 	slow := !t.connected.IsZero() && t.stepEnd(t.written, end).Sub(t.connected) > slowWrite
 	outlived := !t.connected.IsZero() && t.answered.IsZero() && state != foxlift.Live
-	if !slow && !outlived {
+	if !slow && !outlived && !late {
 		return
 	}
-	log.Warn("an attempt outlived its node's place in the list, or was written slowly",
+	log.Warn("an attempt outlived its node's place in the list, or was written or answered late",
 		zap.String("id", a.job.ID), zap.String("class", a.job.Class), zap.String("node", a.node),
 		zap.Stringer("state", state), zap.Bool("reused", t.reused),
 		zap.Duration("age", end.Sub(t.began)),
--- a/internal/platform/machines.go
+++ b/internal/platform/machines.go
@@ -37,6 +37,7 @@
 type machines struct {
 	settings *config.Settings
 	tell     func(foxlift.ListKind, []foxlift.Worker)
+	changed  func(node string, state foxlift.WorkerState) // of each node that an answer names or leaves out
 	log      *zap.Logger
 	asker    *coldstart.Asker // the watch's alone
 
@@ -75,6 +76,7 @@
 	m := &machines{
 		addr: addr, settings: s, tell: tell, log: log, entries: map[string]machine{}, whole: true,
 		asker: coldstart.NewAsker(s.Module.Dispatchers, longest, rng), lastWords: lastWords,
+		changed: func(string, foxlift.WorkerState) {},
 	}
 	if s.Pushed() {
 		m.asker = coldstart.NewAgentAsker(rng)
@@ -102,6 +104,9 @@
 	m.version, m.whole, m.conn, m.reading = *l.Version, false, nil, false
 	now := time.Now().UnixMilli()
 	var workers []foxlift.Worker
+	if l.Whole {
+		defer m.noteMissing(before)
+	}
 	for _, h := range l.Hosts {
 		state := healths[h.Health]
 		// A start before all time counts as long ago, one in the future as now: a node
@@ -115,6 +120,7 @@
 			dial: h.Dial, state: state, born: time.UnixMilli(born), told: h.Born,
 			zone: unique.Make(h.Zone), kind: unique.Make(h.Kind), cell: h.Cell,
 		}
+		m.changed(h.Host, state)
 		workers = append(workers, foxlift.Worker{
 			ID: h.Host, Zone: config.Find(m.settings.Zones, h.Zone), Kind: config.Find(m.settings.Kinds, h.Kind),
 			Cell: h.Cell, State: state, Started: born * int64(time.Millisecond),
@@ -123,6 +129,15 @@
 	return workers
 }
 
+// noteMissing tells of the nodes that were in the list before and are in it no more.
+func (m *machines) noteMissing(before map[string]machine) {
+	for node := range before {
+		if _, there := m.entries[node]; !there {
+			m.changed(node, foxlift.Gone)
+		}
+	}
+}
+
 // takeFrom takes an answer to a call, unless the watch has gone over to another
 // discovery since: what the old one said last must not replace the new list.
 func (m *machines) takeFrom(ctx context.Context, l *listing) ([]foxlift.Worker, error) {
--- a/internal/platform/nodes.go
+++ b/internal/platform/nodes.go
@@ -6,6 +6,7 @@
 	"net"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -37,6 +38,9 @@
 
 	repeatable map[string]bool // classes whose jobs may run twice
 
+	out          outstanding
+	earlyAnswers atomic.Bool // nodes have been seen to answer before the job starts
+
 	mu   sync.Mutex
 	open int                    // connections and dials
 	idle map[string][]*nodeConn // by address, the newest last
@@ -128,6 +132,14 @@
 	}
 }
 
+// reset ends a connection at once: what it has not delivered is discarded.
+func (c *nodeConn) reset() {
+	if tcp, ok := c.Conn.(*net.TCPConn); ok {
+		tcp.SetLinger(0)
+	}
+	c.Close()
+}
+
 // discard closes a connection that is not idle.
 func (n *nodes) discard(c *nodeConn) {
 	c.Close()
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -104,6 +104,7 @@
 	half := (cfg.Sockets - max(spareLeast, cfg.Sockets/sparePart) - AdminConnections(cfg)) / 2
 	front := newFront(c, clock, set, log, nil, half)
 	nodes := newNodes(list, cfg.Settings, set, log, half)
+	list.changed = nodes.out.nodeChanged
 	c.Connect(nodes, list, mostJobs(half))
 	p := &Platform{
 		front: front, machines: list, nodes: nodes, core: c, settings: cfg.Settings,
