--- a/internal/lab/fleet/cut_test.go
+++ b/internal/lab/fleet/cut_test.go
@@ -1,6 +1,8 @@
 package fleet
 
 import (
+	"net"
+	"sync"
 	"testing"
 	"time"
 
@@ -34,7 +36,7 @@
 	for _, n := range cut {
 		f.Discovery.Put(n, "left")
 	}
-	awaitVersion(t, f)
+	awaitVersion(t, f, f.Processes...)
 	told := time.Now()
 	<-time.After(drainGrace)
 	for _, n := range cut {
@@ -73,11 +75,57 @@
 	return sum
 }
 
-// awaitVersion waits until each process has been told the newest version of the list.
-func awaitVersion(t *testing.T, f *Fleet) {
+// awaitVersion waits until each of these processes has been told the newest version of the list.
+func awaitVersion(t *testing.T, f *Fleet, which ...*Process) {
 	t.Helper()
 	version := f.Discovery.Version()
-	for _, p := range f.Processes {
+	for _, p := range which {
 		await(t, p.Name+" has the newest list", func() bool { return f.Discovery.Told(p.Name) >= version })
 	}
 }
+
+// A scheduler is killed, nodes go off the list while it is down, and it starts again with the list as it was
+// before: it sends nothing there while discovery, which can be reached, is late with its answer.
+func TestOldListSendsNothingToNodesThatLeft(t *testing.T) {
+	f := small(t, 2, nil)
+	must(t, f.StartAll(20*time.Second))
+	awaitLists(t, f, f.Processes...)
+	p := f.Processes[0]
+	p.Kill()
+	left := f.Nodes()[:4]
+	for i, n := range left {
+		f.Discovery.Put(n, []string{"left", "leaving"}[i%2])
+	}
+	awaitVersion(t, f, f.Processes[1])
+	for _, l := range f.Links {
+		l.Slow(500*time.Millisecond, 0) // there and back: the answer is a second late
+	}
+	restarted := time.Now()
+	must(t, p.Start())
+	await(t, "it listens", func() bool { return reachable(p.Addr) })
+	early := &standin.Submitter{Addr: p.Addr, Tenant: "all", Class: "ratify", Remaining: 4 * time.Second, Name: "early/ratify/0"}
+	var jobs sync.WaitGroup
+	for range 8 {
+		jobs.Go(func() { early.Send() })
+	}
+	serves(t, f, "restarted")
+	jobs.Wait()
+	if tally := early.Take(); tally.Lost+tally.Failed > 0 {
+		t.Errorf("of the jobs that came before the answer: %+v", tally)
+	}
+	for _, n := range left {
+		if late := n.LastBegun().Sub(restarted); late > 0 {
+			t.Errorf("a request reaches %s, which left before, %v after the restart", n.Name, late)
+		}
+	}
+}
+
+// reachable reports whether somebody listens at an address.
+func reachable(addr string) bool {
+	c, err := net.Dial("tcp", addr)
+	if err != nil {
+		return false
+	}
+	c.Close()
+	return true
+}
