A restarted scheduler sends nothing by its saved list until discovery has answered

Class: acting on a membership view past its lease. A change counts as known 6 s after discovery had it, also for a process that was down then; how old the list is that it is started with, nothing tells. At fault: machine_list.go took ListSaved like an answer, and dispatch sent by it; asked for the list after up to 1 s by chance (dispatcher.go, start) whatever the number of schedulers.

The module sends only by a list that can be trusted: discovery has answered since the start; or it cannot be connected to, and tells nobody; or it said nothing of use for 5 s after the start. An answer of discovery that cannot be used (torn, no list, a trickle) shows that it can be reached: then the lease ends 6 s after the last good answer. A scheduler is ready once it may send, so the front sends its clients elsewhere until then. The first call is spread by n/300 s, at once for a few.

--- a/api.go
+++ b/api.go
@@ -110,6 +110,7 @@
 
 	ListOnRequest bool // the list of workers comes only when asked for
 	MustAskIn     int64
+	ListLease     int64 // how old the list may be where discovery is seen to answer others; 0: of any age
 
 	MayCancel     bool
 	MayProbe      bool
@@ -195,7 +196,7 @@
 		name string
 		time int64
 	}{
-		{"MustAskIn", c.MustAskIn}, {"WarmAfter", c.WarmAfter}, {"FallWindow", c.FallWindow},
+		{"MustAskIn", c.MustAskIn}, {"ListLease", c.ListLease}, {"WarmAfter", c.WarmAfter}, {"FallWindow", c.FallWindow},
 		{"MaxRetryAfter", c.MaxRetryAfter}, {"ConnIdle", c.ConnIdle}, {"AnswerGrace", c.AnswerGrace},
 	} {
 		if f.time < 0 {
@@ -232,7 +233,8 @@
 	ListChanges ListKind = iota // only changed entries
 	ListFull                    // the whole list
 	ListSaved                   // the whole list as last known before a restart
-	ListFailed                  // an ask failed or the subscription broke; no entries
+	ListFailed                  // an ask failed or the subscription broke; no entries; see Event.Failure
+	ListConfirmed               // discovery has answered: the list is up to date; no entries
 )
 
 // A Request is a job that a client asks for.
@@ -300,6 +302,7 @@
 	Load    [MaxGauges]float64
 	Token   uint64
 	List    ListKind
+	Failure ListFailure // where List is ListFailed
 	Workers []Worker
 	From    int
 	Data    []byte
--- a/api_names.go
+++ b/api_names.go
@@ -2,7 +2,7 @@
 
 import "strconv"
 
-// Names of the module's values, for logs.
+// Names of the module's values, for logs. Nothing is decided here.
 
 var codeNames = [...]string{
 	Served: "served", Erred: "error", Full: "turned away", TimedOut: "timed out", Unreachable: "unreachable",
--- a/dispatch_order.go
+++ b/dispatch_order.go
@@ -10,6 +10,9 @@
 	d.round++
 	d.refill()
 	d.sendAgain()
+	if !d.ListTrusted() {
+		return
+	}
 	for d.sendNext(true) {
 	}
 	for (d.open || d.burstTokens >= 1) && d.busy() < d.window && d.sendNext(false) {
--- a/dispatcher.go
+++ b/dispatcher.go
@@ -38,6 +38,7 @@
 
 func (d *Dispatcher) start() {
 	d.began, d.refilled, d.regulAt = d.now, d.now, d.now+second
+	d.lease.confirmedAt = d.now
 	// Dispatchers that start together must not ask together.
 	d.listCall.next = d.now + d.rng.Int64N(max(1, min(d.cfg.MustAskIn/4, second)))
 }
--- a/dispatcher_test.go
+++ b/dispatcher_test.go
@@ -935,7 +935,7 @@
 	if short := r.d.holdLimit(j); short >= long || short != 50*ms {
 		t.Errorf("held for %d when over the share, %d when not", short, long)
 	}
-	r.d.onList(ListFull, fleet(1))
+	r.d.onList(&Event{List: ListFull, Workers: fleet(1)})
 	r.d.round++
 	if r.d.sendFrom(tn); r.d.jobs[1].out != 0 || r.d.jobs[2].out != 1 {
 		t.Error("the older job went first")
--- a/internal/coldstart/asker.go
+++ b/internal/coldstart/asker.go
@@ -73,7 +73,7 @@
 const (
 	mostFailing    = 100.0
 	mostFirst      = 300.0
-	startSpread    = time.Second            // by which the schedulers' starts are spread in any case
+	startSpread    = time.Second            // by which few schedulers' first calls are spread at most
 	silentMost     = 250 * time.Millisecond // pause after a call that fell silent
 	leastPause     = 50 * time.Millisecond  // between two calls of one scheduler
 	growthMost     = time.Second            // to which the pauses of a few schedulers grow
@@ -142,7 +142,8 @@
 	if a.agent {
 		return 0
 	}
-	pause := a.jitter(seconds(float64(a.schedulers)/mostFirst)-startSpread, 0)
+	window := seconds(float64(a.schedulers) / mostFirst)
+	pause := a.jitter(min(window, startSpread), 0) + a.jitter(window-startSpread, 0)
 	if a.longest > 0 {
 		pause = min(pause, a.longest/8)
 	}
--- a/internal/coldstart/asker_test.go
+++ b/internal/coldstart/asker_test.go
@@ -108,7 +108,7 @@
 			})
 			serve(began)
 		}
-		after(a.First()+time.Duration(rng.Int64N(int64(startSpread))), ask)
+		after(a.First(), ask)
 	}
 	for len(f.events) > 0 {
 		e := heap.Pop(&f.events).(event)
--- a/internal/config/check.go
+++ b/internal/config/check.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/vatu-meals/foxlift"
+	"github.com/vatu-meals/foxlift/internal/coldstart"
 )
 
 // maxTime bounds every time in the settings: sums and multiples of them stay numbers.
@@ -30,6 +31,7 @@
 	}
 	c := &s.Module
 	c.ListOnRequest = true // the protocol has no other way, whatever the simulator's has
+	c.ListLease = int64(coldstart.ToldWithin)
 	for i := range c.Classes {
 		if k := &c.Classes[i]; k.Effect == foxlift.Deduplicated {
 			k.KeyTTL = max(0, k.KeyTTL-keyMargin)
--- a/internal/core/cell.go
+++ b/internal/core/cell.go
@@ -56,7 +56,11 @@
 		seed = (seed ^ uint64(b)) * 0x100000001b3 // FNV-1a, so that cells do not move in step
 	}
 	module, err := foxlift.New(cfg, seed)
-	return &cell{name: name, module: module}, err
+	cl := &cell{name: name, module: module}
+	if c.confirmed {
+		cl.tell(foxlift.Event{Kind: foxlift.EventList, List: foxlift.ListConfirmed})
+	}
+	return cl, err
 }
 
 // begin makes the cells of a plan, without nodes.
--- a/internal/core/cell_test.go
+++ b/internal/core/cell_test.go
@@ -48,7 +48,7 @@
 	t.Cleanup(c.Stop)
 	r := &rig{Core: c}
 	c.Connect(r, r, 60)
-	r.do(machinesTold{foxlift.ListSaved, r.list(12, 0)})
+	r.do(machinesTold{kind: foxlift.ListSaved, entries: r.list(12, 0)})
 	return r
 }
 
@@ -272,7 +272,7 @@
 		case i%100 == 50:
 			list := r.list(12, 0)
 			list[rng.IntN(12)].State = foxlift.Draining
-			r.do(machinesTold{foxlift.ListChanges, list})
+			r.do(machinesTold{kind: foxlift.ListChanges, entries: list})
 		case i == 333 || i == 666:
 			next := twoCells()
 			if i == 333 {
@@ -417,7 +417,7 @@
 // one module alone sends there.
 func TestColdNodesHaveOneModule(t *testing.T) {
 	r := newCellRig(t, twoCells())
-	r.do(machinesTold{foxlift.ListFull, r.list(12, r.clock.Now())}) // all start anew
+	r.do(machinesTold{kind: foxlift.ListFull, entries: r.list(12, r.clock.Now())}) // all start anew
 	by := map[string]map[*cell]bool{}
 	r.onSend = func(j *Job) {
 		id := r.lastNode
@@ -608,7 +608,7 @@
 	young, old := newCellRig(t, twoCells()), newCellRig(t, twoCells())
 	news := append(young.list(12, 0)[10:], foxlift.Worker{ID: "late", Kind: 0, Zone: 0})
 	news[0].State, news[1].State = foxlift.Draining, foxlift.Gone
-	young.do(machinesTold{foxlift.ListChanges, news})
+	young.do(machinesTold{kind: foxlift.ListChanges, entries: news})
 	differ := 0
 	for i := range 10 {
 		if id := fmt.Sprint("n", i); young.cellOf(id) != old.cellOf(id) {
@@ -633,7 +633,7 @@
 			}
 		}
 	}
-	old.do(machinesTold{foxlift.ListChanges, news})
+	old.do(machinesTold{kind: foxlift.ListChanges, entries: news})
 	for id := range young.known {
 		a, aok := young.scheme.Load().layout.NodeCell(id)
 		b, bok := old.scheme.Load().layout.NodeCell(id)
@@ -643,9 +643,9 @@
 	}
 	// One returns with a new id, another restarts: the same map at both again.
 	back := []foxlift.Worker{{ID: "n11b", Kind: 0, Zone: 0}, {ID: "n3", Kind: 0, Zone: 0, Started: young.clock.Now()}}
-	young.do(machinesTold{foxlift.ListChanges, back})
-	old.do(machinesTold{foxlift.ListChanges, back[:1]})
-	old.do(machinesTold{foxlift.ListChanges, back[1:]})
+	young.do(machinesTold{kind: foxlift.ListChanges, entries: back})
+	old.do(machinesTold{kind: foxlift.ListChanges, entries: back[:1]})
+	old.do(machinesTold{kind: foxlift.ListChanges, entries: back[1:]})
 	if young.cellOf("n11b") != old.cellOf("n11b") || young.cellOf("n3") != old.cellOf("n3") {
 		t.Error("the order of news decides")
 	}
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -83,14 +83,15 @@
 	active  atomic.Int64 // jobs taken and not yet answered
 
 	// Owned by run's goroutine.
-	jobs     map[uint64]*job
-	open     map[string]*job // taken and not yet answered, by the submitter's id
-	recent   map[string]bool // ids answered not long ago; true: of jobs that must not run twice
-	longest  int64           // the longest deadline of any class
-	most     int             // jobs that may be open
-	endBy    int64           // when what comes now must be answered; 0: no end is near
-	numbered uint64
-	cells    []*cell // one where there is no plan of cells; retired ones behind the plan's
+	jobs      map[uint64]*job
+	open      map[string]*job // taken and not yet answered, by the submitter's id
+	recent    map[string]bool // ids answered not long ago; true: of jobs that must not run twice
+	longest   int64           // the longest deadline of any class
+	most      int             // jobs that may be open
+	confirmed bool            // discovery has answered since the start
+	endBy     int64           // when what comes now must be answered; 0: no end is near
+	numbered  uint64
+	cells     []*cell // one where there is no plan of cells; retired ones behind the plan's
 	nodeTable
 	assigner *cells.Assigner
 	keys     map[keyIn]int // open jobs by key and cell, where the plan bounds them
@@ -159,8 +160,9 @@
 // Start begins with the machine list as last known and starts the core's
 // goroutine, which ends after Stop.
 func (c *Core) Start(known []foxlift.Worker) {
-	machinesTold{foxlift.ListSaved, known}.apply(c)
+	machinesTold{kind: foxlift.ListSaved, entries: known}.apply(c)
 	c.route()
+	c.updateReady()
 	go c.run()
 }
 
@@ -177,6 +179,7 @@
 			(<-c.inbox).apply(c)
 		}
 		c.route()
+		c.updateReady()
 	}
 }
 
@@ -244,29 +247,43 @@
 	}
 }
 
-// Machines brings news of the machine list.
+// Machines brings news of the machine list, as discovery has answered it.
 func (c *Core) Machines(kind foxlift.ListKind, entries []foxlift.Worker) {
-	c.post(machinesTold{kind, entries})
+	c.post(machinesTold{kind: kind, entries: entries})
 }
 
-// Ready reports whether jobs can be taken: the list has an active machine.
+// MachinesConfirmed says that discovery has answered and that nothing has changed.
+func (c *Core) MachinesConfirmed() { c.post(machinesTold{kind: foxlift.ListConfirmed}) }
+
+// MachinesFailed says that a call to discovery has failed, and what that tells of it.
+func (c *Core) MachinesFailed(failure foxlift.ListFailure) {
+	c.post(machinesTold{kind: foxlift.ListFailed, failure: failure})
+}
+
+// Ready reports whether jobs can be taken: the list has an active machine and can be trusted.
 func (c *Core) Ready() bool { return c.ready.Load() }
 
 // machinesTold is news of the machine list.
 type machinesTold struct {
 	kind    foxlift.ListKind
+	failure foxlift.ListFailure
 	entries []foxlift.Worker
 }
 
 func (e machinesTold) apply(c *Core) {
-	if e.kind == foxlift.ListFailed {
+	switch e.kind {
+	case foxlift.ListFailed:
 		c.counters.Add("machines.failed")
-		for _, cl := range c.cells {
-			cl.tell(foxlift.Event{Kind: foxlift.EventList, List: e.kind})
-		}
+		c.tellAll(foxlift.Event{Kind: foxlift.EventList, List: e.kind, Failure: e.failure})
 		return // the old list remains
+	case foxlift.ListConfirmed:
+		c.confirmList()
+		return
 	}
 	c.counters.Add("machines.told")
+	if e.kind != foxlift.ListSaved {
+		c.confirmList()
+	}
 	c.note(e.kind, e.entries)
 	if c.scheme.Load() == nil {
 		c.cells[0].tell(foxlift.Event{Kind: foxlift.EventList, List: e.kind, Workers: c.withOthers(e.entries)})
@@ -275,5 +292,22 @@
 		c.rehomeAll()
 	}
 	c.prune()
-	c.ready.Store(c.live > 0)
+}
+
+// confirmList tells each module that the list is up to date.
+func (c *Core) confirmList() {
+	c.confirmed = true
+	c.tellAll(foxlift.Event{Kind: foxlift.EventList, List: foxlift.ListConfirmed})
+}
+
+// tellAll keeps an event for the next step of each cell's module.
+func (c *Core) tellAll(e foxlift.Event) {
+	for _, cl := range c.cells {
+		cl.tell(e)
+	}
+}
+
+// updateReady notes whether jobs can be taken: there is a live machine, and the list that says so holds.
+func (c *Core) updateReady() {
+	c.ready.Store(c.live > 0 && c.cells[0].module.ListTrusted())
 }
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -58,7 +58,7 @@
 	t.Cleanup(c.Stop)
 	r := &rig{Core: c}
 	c.Connect(r, r, 9)
-	r.do(machinesTold{foxlift.ListFull, []foxlift.Worker{{ID: "n1", Kind: -1}, {ID: "n2", Kind: -1}, {ID: "n3", Kind: -1}}})
+	r.do(machinesTold{kind: foxlift.ListFull, entries: []foxlift.Worker{{ID: "n1", Kind: -1}, {ID: "n2", Kind: -1}, {ID: "n3", Kind: -1}}})
 	return r
 }
 
--- a/internal/core/handover_test.go
+++ b/internal/core/handover_test.go
@@ -58,7 +58,7 @@
 func TestOthersCount(t *testing.T) {
 	r := newRig(t)
 	r.do(othersTold{map[string]float64{"n1": 50, "n2": 50, "gone": 1}})
-	r.do(machinesTold{foxlift.ListFull, []foxlift.Worker{{ID: "n1", Kind: -1}, {ID: "n2", Kind: -1}, {ID: "n3", Kind: -1}}})
+	r.do(machinesTold{kind: foxlift.ListFull, entries: []foxlift.Worker{{ID: "n1", Kind: -1}, {ID: "n2", Kind: -1}, {ID: "n3", Kind: -1}}})
 	for _, id := range []string{"a", "b"} {
 		r.take(id, "reading", "t")
 		if r.lastNode != "n3" {
--- a/internal/daemon/upgrade.go
+++ b/internal/daemon/upgrade.go
@@ -26,6 +26,7 @@
 	settleLeast  = 500 * time.Millisecond // from listening to the yes: until then the other's resting connections may bring jobs
 	stateLimit   = time.Second            // for the core to tell its state, or to take one
 	stateAge     = 2 * time.Second        // a state that is older was left behind
+	stateWait    = 5 * placePause         // for the older process to write its state
 	stateShare   = 9                      // so many times as long as writing a state took, none is written
 )
 
@@ -55,7 +56,7 @@
 func (d *Daemon) succeed() {
 	d.share(withAnother)
 	d.platform.Follow()
-	if !d.awaitInformed() {
+	if !d.awaitInformed() || !d.awaitState() {
 		return // it is to end before it served
 	}
 	d.mu.Lock()
@@ -113,6 +114,27 @@
 	}
 }
 
+// awaitState waits until the older process, which looks for a successor now and then, has written its
+// state; it may never do so. False at the end.
+func (d *Daemon) awaitState() bool {
+	limit := time.After(stateWait)
+	look := time.NewTicker(informPause)
+	defer look.Stop()
+	for {
+		var older core.Progress
+		if d.loadFresh(&older, &older) == nil {
+			return true
+		}
+		select {
+		case <-look.C:
+		case <-limit:
+			return true
+		case <-d.ending:
+			return false
+		}
+	}
+}
+
 // loadState goes on from what the older process has learned, if that can be read.
 func (d *Daemon) loadState() {
 	state := &core.State{}
--- a/internal/platform/caller.go
+++ b/internal/platform/caller.go
@@ -7,8 +7,10 @@
 	"io"
 	"net"
 	"net/http"
+	"syscall"
 	"time"
 
+	"github.com/vatu-meals/foxlift"
 	"github.com/vatu-meals/foxlift/internal/coldstart"
 )
 
@@ -37,6 +39,24 @@
 	return coldstart.Unreachable
 }
 
+// An answerError is a failure after discovery had begun to answer with a list: it can be reached.
+type answerError struct{ error }
+
+// Unwrap returns what failed.
+func (e answerError) Unwrap() error { return e.error }
+
+// listFailure says what a failed call tells of the list's age. A refusal, a reset and silence may mean that
+// discovery is down or has too many callers.
+func listFailure(err error) foxlift.ListFailure {
+	switch {
+	case errors.As(err, new(answerError)):
+		return foxlift.FailureSpoilt
+	case errors.Is(err, syscall.ECONNREFUSED):
+		return foxlift.FailureDown
+	}
+	return foxlift.FailureUnclear
+}
+
 // A caller makes calls to discovery, on one connection while it lasts.
 type caller struct {
 	ctx  context.Context // its end breaks off what is under way
@@ -105,9 +125,9 @@
 	l, err := decodeListing(body, bound.entries)
 	switch {
 	case body.err != nil:
-		return nil, body.err
+		return nil, answerError{body.err}
 	case err != nil:
-		return nil, fmt.Errorf("%w: %w", errList, err)
+		return nil, answerError{fmt.Errorf("%w: %w", errList, err)}
 	}
 	if resp.Close {
 		c.close()
--- a/internal/platform/machines.go
+++ b/internal/platform/machines.go
@@ -37,6 +37,8 @@
 type machines struct {
 	settings *config.Settings
 	tell     func(foxlift.ListKind, []foxlift.Worker)
+	confirm  func()                                       // discovery has answered, with no news
+	fail     func(foxlift.ListFailure)                    // a call has failed
 	changed  func(node string, state foxlift.WorkerState) // of each node that an answer names or leaves out
 	log      *zap.Logger
 	asker    *coldstart.Asker // the watch's alone
@@ -76,7 +78,7 @@
 	m := &machines{
 		addr: addr, settings: s, tell: tell, log: log, entries: map[string]machine{}, whole: true,
 		asker: coldstart.NewAsker(s.Module.Dispatchers, longest, rng), lastWords: lastWords,
-		changed: func(string, foxlift.WorkerState) {},
+		changed: func(string, foxlift.WorkerState) {}, confirm: func() {}, fail: func(foxlift.ListFailure) {},
 	}
 	if s.Pushed() {
 		m.asker = coldstart.NewAgentAsker(rng)
@@ -277,7 +279,7 @@
 		pause = m.asker.After(outcome(err), min(time.Since(began), m.asker.Limit(0)))
 		if !urgent {
 			m.log.Warn("the watch on the machine list has ended", zap.String("discovery", addr), zap.Error(err), zap.Duration("next", pause))
-			m.tell(foxlift.ListFailed, nil)
+			m.fail(listFailure(err))
 		}
 	}
 }
@@ -307,21 +309,24 @@
 		err := m.call(c, target, limit)
 		// The core hears of an answer once the next call is out: nothing that
 		// happens here may delay that call.
-		if told {
+		switch {
+		case told:
 			m.tell(kind, news)
+		case !failing:
+			m.confirm()
 		}
 		if err != nil {
 			return began, err
 		}
 		l, err := c.receive(processBound())
 		if err == nil && whole && !l.Whole {
-			err = fmt.Errorf("%w: the answer is not the whole list", errList)
+			err = answerError{fmt.Errorf("%w: the answer is not the whole list", errList)}
 		}
 		if err != nil {
 			return began, m.noteOversized(err)
 		}
 		if !l.Whole && *l.Version < m.version {
-			whole, told = true, false // discovery has lost count
+			whole, told, failing = true, false, true // discovery has lost count
 			continue
 		}
 		if failing {
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -104,7 +104,7 @@
 	half := (cfg.Sockets - max(spareLeast, cfg.Sockets/sparePart) - AdminConnections(cfg)) / 2
 	front := newFront(c, clock, set, log, nil, half)
 	nodes := newNodes(list, cfg.Settings, set, log, half)
-	list.changed = nodes.out.nodeChanged
+	list.changed, list.confirm, list.fail = nodes.out.nodeChanged, c.MachinesConfirmed, c.MachinesFailed
 	c.Connect(nodes, list, mostJobs(half))
 	p := &Platform{
 		front: front, machines: list, nodes: nodes, core: c, settings: cfg.Settings,
@@ -149,9 +149,7 @@
 
 // Follow starts the core with the list as last known, and with it the watch on the list.
 func (p *Platform) Follow() {
-	if p.settings.Pushed() {
-		p.machines.Watch() // the module asks when it likes
-	}
+	p.machines.Watch() // its first pause spreads the schedulers that start together
 	p.core.Start(p.known)
 }
 
--- a/machine_list.go
+++ b/machine_list.go
@@ -9,10 +9,15 @@
 	}
 }
 
-func (d *Dispatcher) onList(kind ListKind, entries []Worker) {
-	c := &d.listCall
+func (d *Dispatcher) onList(e *Event) {
+	c, kind, entries := &d.listCall, e.List, e.Workers
+	if kind == ListConfirmed {
+		d.lease.confirm(d.now)
+		return
+	}
 	c.joined, c.waiting = kind != ListFailed && (c.joined || c.waiting), false
 	if kind == ListFailed { // for all together: they spread out, within what counts as not asking
+		d.lease.fail(e.Failure)
 		c.backoff = min(max(2*c.backoff, second/2), max(d.cfg.MustAskIn/2, second/2))
 		c.next = d.now + c.backoff/2 + d.rng.Int64N(c.backoff/2+1)
 		return
--- a/placement.go
+++ b/placement.go
@@ -20,6 +20,9 @@
 // of our jobs, a crossing of zones and a fetch counting as some more, and ties
 // going to the one that promises most. It is nil if none may.
 func (d *Dispatcher) pick(j *job) *worker {
+	if !d.ListTrusted() {
+		return nil
+	}
 	var best *worker
 	bestCost := math.Inf(1)
 	try := func(w *worker, extra float64, has bool) {
--- a/state.go
+++ b/state.go
@@ -69,6 +69,7 @@
 	warmNow     float64  // the same, lately
 	served      float64
 	listCall    listCall
+	lease       listLease
 	turns       coldstart.Turns // at young workers, where no rate is known
 	lightestAim float64         // the least aim: what a light job stands for there
 	lists       int64           // number of list events
@@ -198,7 +199,7 @@
 	case EventRequest:
 		d.accept(&e.Request)
 	case EventList:
-		d.onList(e.List, e.Workers)
+		d.onList(e)
 	case EventStarted:
 		d.onStarted(e)
 	case EventOutcome:
