By an old list jobs go only to workers that have accepted one lately

The list stayed believed for ever. Ruled out: longer watches (10 s, a trial): nobody is answered any more often.

Change: 6 s after the last answer, if calls have failed since, jobs go to workers that have accepted one sent within 6 s: a worker that drains turns new ones away (protocol, outcome 302). Others are tried once a second, and not at all where an answer that cannot be used shows that discovery can be reached.

--- a/api.go
+++ b/api.go
@@ -230,11 +230,11 @@
 type ListKind uint8
 
 const (
-	ListChanges ListKind = iota // only changed entries
-	ListFull                    // the whole list
-	ListSaved                   // the whole list as last known before a restart
-	ListFailed                  // an ask failed or the subscription broke; no entries; see Event.Failure
-	ListConfirmed               // discovery has answered: the list is up to date; no entries
+	ListChanges   ListKind = iota // only changed entries
+	ListFull                      // the whole list
+	ListSaved                     // the whole list as last known before a restart
+	ListFailed                    // an ask failed or the subscription broke; no entries; see Event.Failure
+	ListConfirmed                 // discovery has answered: the list is up to date; no entries
 )
 
 // A Request is a job that a client asks for.
--- a/attempts.go
+++ b/attempts.go
@@ -6,7 +6,7 @@
 // maySend is the one place that says whether a job may go to a worker now. The
 // rules on effects are kept here, whatever the reason for sending.
 func (d *Dispatcher) maySend(j *job, w *worker) bool {
-	if j.ended || j.stream || d.now >= j.req.Deadline || w.state != Live || !d.ListTrusted() {
+	if j.ended || j.stream || d.now >= j.req.Deadline || w.state != Live {
 		return false
 	}
 	if d.attemptsLeft(j) <= 0 {
@@ -105,6 +105,7 @@
 		return
 	}
 	a.started = d.now
+	d.accepts(a)
 	d.waited(a)
 	a.job.stream = a.job.stream || e.Stream
 	d.learnStart(a)
--- a/health.go
+++ b/health.go
@@ -73,6 +73,7 @@
 	a.heardOf()
 	switch e.Code {
 	case Served:
+		d.accepts(a)
 		run := e.Took
 		if a.started != 0 {
 			run = max(1, d.now-a.started)
@@ -95,6 +96,7 @@
 			d.learnRoom(w, d.now-j.came > j.wanted)
 		}
 	case Full:
+		w.acceptedAt = 0 // it may be draining
 		d.learnRoom(w, true)
 		d.pause(w, j)
 	case Unreachable:
--- a/list_lease.go
+++ b/list_lease.go
@@ -1,14 +1,19 @@
 package foxlift
 
 // How far the machine list can be trusted. A change counts as known some seconds after discovery had it,
-// whether or not it arrived here, and also while this process was down. A list that may be older than that
-// is past its lease: nothing is sent by it.
+// whether or not it arrived here, and also while this process was down. By a list that may be older than
+// that nothing is sent, except to workers that have accepted a job since: one that drains accepts none.
+
+import (
+	"math"
+	"slices"
+)
 
 // A ListFailure is what a failed call tells of discovery.
 type ListFailure uint8
 
 const (
-	FailureUnclear ListFailure = iota // it may be down, or have too many callers: the list stays believed
+	FailureUnclear ListFailure = iota // it may be down, or have too many callers
 	FailureDown                       // nobody listens there: it tells nobody of changes
 	FailureSpoilt                     // it answers, with nothing that can be used: what it has counts as known
 )
@@ -17,9 +22,20 @@
 type listLease struct {
 	confirmed   bool  // a call has been answered since the start
 	confirmedAt int64 // when the last one was; the start, before the first
-	failed      ListFailure
+	failing     bool  // a call has failed since
+	failure     ListFailure
+	exploredAt  int64 // when a worker of which nothing is known was last tried by an old list
 }
 
+const (
+	// savedListHold is how long a process that has just started waits for discovery's first answer before
+	// it goes by the list that it was started with: by then discovery is most likely out of order.
+	savedListHold = 5 * second
+
+	exploreEvery = second // between sends to workers of which nothing is known, by an old list
+	exploreLooks = 8      // at workers, to find one that may be tried
+)
+
 // confirm notes that discovery has answered: the list is as new as can be.
 func (l *listLease) confirm(now int64) {
 	*l = listLease{confirmed: true, confirmedAt: now}
@@ -27,23 +43,83 @@
 
 // fail notes a failed call. What has shown that discovery can be reached stays noted until it answers.
 func (l *listLease) fail(f ListFailure) {
-	if f != FailureUnclear || l.failed == FailureDown {
-		l.failed = f
+	if !l.failing || f != FailureUnclear || l.failure == FailureDown {
+		l.failure = f
 	}
+	l.failing = true
 }
 
-// savedListHold is how long a process that has just started waits for discovery's first answer before it
-// goes by the list that it was started with: by then discovery is most likely out of order.
-const savedListHold = 5 * second
+// listFresh reports whether the list holds every change that counts as known.
+func (d *Dispatcher) listFresh() bool {
+	l := &d.lease
+	if d.cfg.ListLease == 0 || l.failing && l.failure == FailureDown {
+		return true
+	}
+	return l.confirmed && (!l.failing || d.now-l.confirmedAt < d.cfg.ListLease)
+}
 
-// ListTrusted reports whether jobs may be sent by the list as it is known.
+// ListTrusted reports whether jobs may be sent by the list as it is known, if only to some workers.
 func (d *Dispatcher) ListTrusted() bool {
 	l := &d.lease
-	switch {
-	case d.cfg.ListLease == 0 || l.failed == FailureDown:
-		return true
-	case l.failed == FailureSpoilt:
-		return l.confirmed && d.now-l.confirmedAt < d.cfg.ListLease
+	return d.listFresh() || l.confirmed || l.failure != FailureSpoilt && d.now-l.confirmedAt >= savedListHold
+}
+
+// accepts notes that a worker has taken an attempt: when that was sent, it did not drain.
+func (d *Dispatcher) accepts(a *attempt) {
+	w := a.worker
+	w.acceptedAt = max(w.acceptedAt, a.sent)
+	if w.accepting {
+		return
+	}
+	if len(d.accepting) > 2*len(d.live) { // most of them have gone
+		d.dropNotAccepting()
+	}
+	w.accepting = true
+	d.accepting = append(d.accepting, w)
+}
+
+// dropNotAccepting takes out the workers that have not accepted a job lately.
+func (d *Dispatcher) dropNotAccepting() {
+	d.accepting = slices.DeleteFunc(d.accepting, func(w *worker) bool {
+		w.accepting = w.state == Live && d.now-w.acceptedAt < d.cfg.ListLease
+		return !w.accepting
+	})
+}
+
+// pickAccepting finds the worker for a job while the list is old: one that has accepted a job lately, or,
+// now and then where discovery may be down, one of which nothing is known.
+func (d *Dispatcher) pickAccepting(j *job) *worker {
+	if !d.ListTrusted() {
+		return nil
+	}
+	d.dropNotAccepting()
+	var best *worker
+	bestCost := math.Inf(1)
+	for _, w := range d.accepting {
+		if !d.fits(j, w) {
+			continue
+		}
+		if c := float64(w.level) + d.cost(j, w); c < bestCost {
+			best, bestCost = w, c
+		}
+	}
+	if best == nil {
+		return d.explore(j)
+	}
+	return best
+}
+
+// explore finds a worker for a job of which nothing is known; nil where that may not be.
+func (d *Dispatcher) explore(j *job) *worker {
+	l := &d.lease
+	if l.failure == FailureSpoilt || len(d.live) == 0 || l.exploredAt != 0 && d.now-l.exploredAt < exploreEvery {
+		return nil
+	}
+	for range exploreLooks {
+		if w := d.live[d.rng.IntN(len(d.live))]; d.fits(j, w) {
+			l.exploredAt = d.now
+			return w
+		}
 	}
-	return l.confirmed || d.now-l.confirmedAt >= savedListHold
+	return nil
 }
--- /dev/null
+++ b/list_lease_test.go
@@ -0,0 +1,104 @@
+package foxlift
+
+import "testing"
+
+const testLease = 6 * second
+
+func leaseConfig() Config {
+	cfg := testConfig()
+	cfg.ListLease = testLease
+	return cfg
+}
+
+func listEvent(kind ListKind, failure ListFailure) Event {
+	return Event{Kind: EventList, List: kind, Failure: failure}
+}
+
+// What a scheduler may send after each history of calls to discovery. The rig has started with a saved list.
+func TestListLease(t *testing.T) {
+	type call struct {
+		after int64 // since the one before
+		event Event
+	}
+	confirmed := listEvent(ListConfirmed, 0)
+	unclear, down, spoilt := listEvent(ListFailed, FailureUnclear), listEvent(ListFailed, FailureDown), listEvent(ListFailed, FailureSpoilt)
+	for _, c := range []struct {
+		name    string
+		calls   []call
+		wait    int64
+		sends   int // of three jobs, to workers that have accepted none
+		trusted bool
+	}{
+		{"just started", nil, 0, 0, false},
+		{"just before the hold's end", nil, savedListHold - ms, 0, false},
+		{"never answered", nil, savedListHold, 1, true},
+		{"never answered, refused", []call{{second, unclear}}, savedListHold, 1, true},
+		{"never answered, spoilt", []call{{second, spoilt}}, time10, 0, false},
+		{"never answered, spoilt and then refused", []call{{second, spoilt}, {second, unclear}}, time10, 0, false},
+		{"nobody listens", []call{{second, down}}, 0, 3, true},
+		{"nobody listened, then refused", []call{{second, down}, {second, unclear}}, 0, 0, false},
+		{"answered", []call{{second, confirmed}}, 0, 3, true},
+		{"answered long ago, on a watch", []call{{second, confirmed}}, time10, 3, true},
+		{"refused, within the lease", []call{{second, confirmed}, {second, unclear}}, testLease - second - ms, 3, true},
+		{"refused, past it", []call{{second, confirmed}, {second, unclear}}, testLease - second, 1, true},
+		{"spoilt, within the lease", []call{{second, confirmed}, {second, spoilt}}, testLease - second - ms, 3, true},
+		{"spoilt, past it", []call{{second, confirmed}, {second, spoilt}}, testLease - second, 0, true},
+		{"spoilt, refused, past it", []call{{second, confirmed}, {second, spoilt}, {second, unclear}}, time10, 0, true},
+		{"down, past it", []call{{second, confirmed}, {second, down}}, time10, 3, true},
+		{"answered again", []call{{second, confirmed}, {time10, spoilt}, {second, confirmed}}, 0, 3, true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			r := newRig(t, leaseConfig(), fleet(9)...)
+			for _, e := range c.calls {
+				r.after(e.after, e.event)
+			}
+			r.after(c.wait)
+			r.step(r.request(1, 0), r.request(2, 0), r.request(3, 0))
+			r.want(ActionSend, c.sends)
+			if got := r.d.ListTrusted(); got != c.trusted {
+				t.Errorf("trusted: %v", got)
+			}
+		})
+	}
+}
+
+const time10 = 10 * second
+
+// By an old list jobs go to workers that have accepted one since, as long as that is not old either, and
+// not to one that has turned a job away.
+func TestOldListUsesWorkersThatAccept(t *testing.T) {
+	r := newRig(t, leaseConfig(), fleet(9)...)
+	r.step(listEvent(ListConfirmed, 0))
+	r.after(second, listEvent(ListFailed, FailureSpoilt))
+	r.after(testLease - 2*second)
+	r.step(r.request(1, 0))
+	w := r.want(ActionSend, 1)[0].Worker
+	r.after(50*ms, started(1, 0, w), outcome(1, 0, w, Served))
+	r.after(2 * second)
+	r.step(r.request(2, 0))
+	if got := r.want(ActionSend, 1)[0].Worker; got != w {
+		t.Errorf("sent to %s, which accepted nothing, and not to %s", got, w)
+	}
+	r.after(50*ms, outcome(2, 0, w, Full))
+	r.after(second)
+	r.step(r.request(3, 0))
+	r.want(ActionSend, 0)
+	r.step(listEvent(ListConfirmed, 0))
+	r.after(100 * ms)
+	r.step(r.request(4, 0))
+	if len(r.only(ActionSend)) == 0 {
+		t.Error("nothing is sent by a list that has been confirmed")
+	}
+}
+
+// A worker's acceptance is as old as the send that it accepted.
+func TestAcceptanceIsAsOldAsTheSend(t *testing.T) {
+	r := newRig(t, leaseConfig(), fleet(1)...)
+	r.step(listEvent(ListConfirmed, 0))
+	r.after(second, listEvent(ListFailed, FailureSpoilt), r.request(1, 1))
+	r.want(ActionSend, 1)
+	r.after(1900*ms, started(1, 0, "w0"), outcome(1, 0, "w0", Served))
+	r.after(testLease - 1900*ms)
+	r.step(r.request(2, 0))
+	r.want(ActionSend, 0)
+}
--- a/placement.go
+++ b/placement.go
@@ -20,8 +20,8 @@
 // of our jobs, a crossing of zones and a fetch counting as some more, and ties
 // going to the one that promises most. It is nil if none may.
 func (d *Dispatcher) pick(j *job) *worker {
-	if !d.ListTrusted() {
-		return nil
+	if !d.listFresh() {
+		return d.pickAccepting(j)
 	}
 	var best *worker
 	bestCost := math.Inf(1)
--- a/state.go
+++ b/state.go
@@ -70,6 +70,7 @@
 	served      float64
 	listCall    listCall
 	lease       listLease
+	accepting   []*worker       // that have accepted a job lately
 	turns       coldstart.Turns // at young workers, where no rate is known
 	lightestAim float64         // the least aim: what a light job stands for there
 	lists       int64           // number of list events
--- a/workers.go
+++ b/workers.go
@@ -29,6 +29,8 @@
 	overdue        int     // jobs that it should have started
 	ejectedUntil   int64   // gets nothing before this
 	backoff        int64
+	acceptedAt     int64   // when the last attempt that it accepted was sent
+	accepting      bool    // it is in Dispatcher.accepting
 	refusalsInARow int     // refusals in a row
 	trial          bool    // one job only, until it answers
 	good           int64   // when it last started one of our jobs at once,
