One guard for sends, repeats and closes: what would break a rule is given up and counted

internal/guard: pure checks in the module's terms, called by core before a claim, by platform before an attempt's first and last byte and at a submitter's end. Counted as invariant.<rule> in the log's counters and as scheduler_invariant_violations_total in /admin/stats. The budget of slow start is not in it: one process does not know what the others send.

--- a/internal/config/settings.go
+++ b/internal/config/settings.go
@@ -21,6 +21,7 @@
 	Kinds          map[string]int
 	GaugeNames     []string // of the values in a load report, in order
 	ConnectTimeout int64    // nanoseconds; 0 means not given
+	DrainGrace     int64    // nanoseconds in which sends to a node that drains have to stop
 	MaxOpen        int      // jobs held at once; 0 means no limit
 	Progress       int64    // nanoseconds between progress notes; 0 means none
 	Discovery      string   // one of discoveries, or ""
@@ -68,6 +69,7 @@
 	Rules struct {
 		AnswerGrace   int64   `json:"graceToAnswer"`
 		MustAskIn     int64   `json:"mustAskIn"`
+		DrainGrace    int64   `json:"drainGrace"`
 		StartCapacity float64 `json:"startCapacity"`
 		WarmAfter     int64   `json:"warmAfter"`
 		FallMultiple  float64 `json:"fallMultiple"`
@@ -133,7 +135,7 @@
 		Module:  f.module(),
 		Classes: map[string]int{}, Tenants: map[string]int{},
 		Zones: index(f.Zones), Kinds: index(f.Kinds),
-		GaugeNames: f.Report.Names, ConnectTimeout: f.Bounds.ConnectTimeout, MaxOpen: f.Bounds.MaxOpen, Progress: f.Info.Progress,
+		GaugeNames: f.Report.Names, ConnectTimeout: f.Bounds.ConnectTimeout, DrainGrace: f.Rules.DrainGrace, MaxOpen: f.Bounds.MaxOpen, Progress: f.Info.Progress,
 		Discovery: f.Discovery, Zone: f.Zone,
 	}
 	c := &s.Module
--- a/internal/core/job.go
+++ b/internal/core/job.go
@@ -23,7 +23,8 @@
 	Submitter Submitter
 
 	answered atomic.Bool
-	place    place // in a gate, where there are cells
+	left     atomic.Pointer[time.Time] // when its submitter was seen to have left
+	place    place                     // in a gate, where there are cells
 }
 
 // Over reports whether nothing more is to be begun for the job: it is answered, or its
@@ -32,6 +33,20 @@
 	return j.answered.Load() || j.Submitter != nil && j.Submitter.Gone()
 }
 
+// NoteLeft notes that the job's submitter has left. Any goroutine may call it.
+func (j *Job) NoteLeft() {
+	now := time.Now()
+	j.left.CompareAndSwap(nil, &now)
+}
+
+// LeftAgo returns how long ago the job's submitter was seen to have left; 0 if it was not.
+func (j *Job) LeftAgo() time.Duration {
+	if at := j.left.Load(); at != nil {
+		return time.Since(*at)
+	}
+	return 0
+}
+
 // A Submitter waits for a job's answer.
 type Submitter interface {
 	// Answer brings the one answer. It is called on the core's goroutine and
--- a/internal/core/send.go
+++ b/internal/core/send.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/vatu-meals/foxlift"
+	"github.com/vatu-meals/foxlift/internal/guard"
 )
 
 // Stage 4, send: a claim is made and handed to Nodes. It ends at its limit, which
@@ -14,15 +15,16 @@
 	if n := c.known[node]; n != nil {
 		cl.zone, cl.pod = n.Zone, n.Cell
 	}
-	within, may := c.mayRepeat(cl)
+	within, rule := c.mayRepeat(cl)
 	j.claims = append(j.claims, cl)
 	j.out++
 	c.count(cl, 1)
 	left := j.deadline - now
-	if !may {
+	if rule != guard.Kept {
 		// The module never asks for it. But the rule must not rest on one module's
 		// knowledge, where a job passes from one to another.
 		c.counters.Add("claims.withheld")
+		c.counters.Add(rule.Counter())
 		c.endClaim(cl, Report{Ended: true, Code: foxlift.NotSent})
 		return
 	}
@@ -38,26 +40,30 @@
 	cl.withdraw = c.nodes.Send(node, j.Job, Limits{j.remaining(now), within}, func(r Report) { c.post(claimReported{cl, r}) })
 }
 
-// mayRepeat reports whether a job may go to a node though it may have run, and within what
-// time its last byte must be written then (0: no limit). Nodes of one pod drop repeats of a
+// mayRepeat returns the rule that a claim would break, because its job may have run, and within what
+// time its last byte must be written (0: no limit). Nodes of one pod drop repeats of a
 // keyed job for a time; it counts from the first claim that may have run.
-func (c *Core) mayRepeat(cl *claim) (within time.Duration, may bool) {
+func (c *Core) mayRepeat(cl *claim) (within time.Duration, rule guard.Rule) {
 	class := &c.settings.Module.Classes[cl.job.class]
-	first := cl.job.mayHaveRun()
-	if first == nil || class.Effect == foxlift.Idempotent {
-		return 0, true
+	r := guard.Repeat{ListTrusted: cl.cell.module.ListTrusted(), Effect: class.Effect}
+	if first := cl.job.mayHaveRun(); first != nil {
+		r.MayHaveRun = true
+		r.SameGroup = cl.sameGroup(first, class.Scope)
+		r.WindowLeft = time.Duration(first.sent + class.KeyTTL - cl.sent)
+		if class.Effect == foxlift.Deduplicated {
+			within = r.WindowLeft
+		}
 	}
-	if class.Effect == foxlift.AtMostOnce {
-		return 0, false
-	}
-	left := first.sent + class.KeyTTL - cl.sent
-	switch class.Scope {
+	return within, r.Check()
+}
+
+// sameGroup reports whether a claim's node drops repeats of what another claim's node may have run.
+func (cl *claim) sameGroup(first *claim, scope foxlift.Scope) bool {
+	switch scope {
 	case foxlift.ScopeZone:
-		may = cl.zone == first.zone && cl.zone >= 0
+		return cl.zone == first.zone && cl.zone >= 0
 	case foxlift.ScopeCell:
-		may = cl.pod == first.pod && cl.pod >= 0
-	default:
-		may = true
+		return cl.pod == first.pod && cl.pod >= 0
 	}
-	return time.Duration(left), may && left > 0
+	return true
 }
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -13,6 +13,7 @@
 
 	"github.com/vatu-meals/foxlift/internal/core"
 	"github.com/vatu-meals/foxlift/internal/counters"
+	"github.com/vatu-meals/foxlift/internal/guard"
 )
 
 const namespace = "scheduler" // the prefix of every figure's name
@@ -40,7 +41,7 @@
 	source   Source
 	pool     atomic.Value // core.Pool, as last told
 
-	responses, tries, active, size, ejected *prometheus.Desc
+	responses, tries, active, size, ejected, violations *prometheus.Desc
 }
 
 // Handler returns a handler that shows the figures of the jobs of all classes.
@@ -55,6 +56,8 @@
 		active:    describe("active", "Jobs taken and not yet answered."),
 		size:      describe("pool_size", "Execute nodes in the machine list."),
 		ejected:   describe("pool_ejected", "Listed execute nodes that are avoided."),
+
+		violations: describe("invariant_violations_total", "Actions given up since they would have broken a rule.", "rule"),
 	}
 	c.pool.Store(core.Pool{})
 	registry := prometheus.NewRegistry()
@@ -64,7 +67,7 @@
 
 // Describe implements prometheus.Collector.
 func (c *collector) Describe(out chan<- *prometheus.Desc) {
-	for _, d := range []*prometheus.Desc{c.responses, c.tries, c.active, c.size, c.ejected} {
+	for _, d := range []*prometheus.Desc{c.responses, c.tries, c.active, c.size, c.ejected, c.violations} {
 		out <- d
 	}
 }
@@ -77,6 +80,10 @@
 			out <- prometheus.MustNewConstMetric(c.responses, prometheus.CounterValue, float64(n), class, result)
 		}
 	}
+	for _, rule := range guard.Rules {
+		n := c.counters.Get(rule.Counter())
+		out <- prometheus.MustNewConstMetric(c.violations, prometheus.CounterValue, float64(n), string(rule))
+	}
 	pool := c.lookAtPool()
 	out <- prometheus.MustNewConstMetric(c.tries, prometheus.CounterValue, float64(c.counters.Get(counters.ClaimsWritten)))
 	out <- prometheus.MustNewConstMetric(c.active, prometheus.GaugeValue, float64(c.source.Active()))
--- a/internal/platform/attempt.go
+++ b/internal/platform/attempt.go
@@ -21,6 +21,7 @@
 	"github.com/vatu-meals/foxlift"
 	"github.com/vatu-meals/foxlift/internal/core"
 	"github.com/vatu-meals/foxlift/internal/counters"
+	"github.com/vatu-meals/foxlift/internal/guard"
 )
 
 // An attempt carries out one claim: it connects to the execute node, writes the
@@ -44,7 +45,8 @@
 func (a *attempt) run() {
 	r := a.carryOut()
 	if a.nodes.log != nil {
-		a.trace.log(a.nodes.log, a, a.nodes.stateOf(a.node), r)
+		state, _ := a.nodes.stateOf(a.node)
+		a.trace.log(a.nodes.log, a, state, r)
 	}
 	a.report(r)
 }
@@ -134,8 +136,12 @@
 // exchange writes the job and reads the node's answer. reusable says that the
 // connection is at the start of a new request.
 func (a *attempt) exchange(conn *nodeConn, to machine) (r core.Report, reusable bool) {
-	may := func() bool { return a.stands(to) }
-	if code := conn.deliver(a.request(), a.nodes.holdTime(conn, a.job.Class), a.writeBy, may); code != foxlift.Served {
+	request, told := a.request()
+	if !a.keepsRules(told, false) {
+		return ended(foxlift.NotSent), true
+	}
+	may := func() bool { return a.stands(to) && a.keepsRules(told, true) }
+	if code := conn.deliver(request, a.nodes.holdTime(conn, a.job.Class), a.writeBy, may); code != foxlift.Served {
 		return ended(code), false
 	}
 	a.trace.written = time.Now()
@@ -143,6 +149,26 @@
 	return a.receive(conn)
 }
 
+// keepsRules reports whether bytes of the request may be written now, and counts the rule that they would break.
+func (a *attempt) keepsRules(told time.Duration, lastByte bool) bool {
+	if a.nodes.stateOf == nil {
+		return true
+	}
+	send := guard.Send{
+		Grace: a.nodes.grace, LeftAgo: a.job.LeftAgo(),
+		Told: told, Remains: time.Until(a.until), LastByte: lastByte,
+	}
+	var since time.Time
+	if send.State, since = a.nodes.stateOf(a.node); send.State != foxlift.Live {
+		send.Off = time.Since(since)
+	}
+	rule := send.Check()
+	if rule != guard.Kept {
+		a.nodes.counters.Add(rule.Counter())
+	}
+	return rule == guard.Kept
+}
+
 // receive reads the node's answer.
 func (a *attempt) receive(conn *nodeConn) (r core.Report, reusable bool) {
 	m := conn.buf.message(maxResponse)
@@ -245,8 +271,8 @@
 	return foxlift.NotSent
 }
 
-// request writes the job as the node reads it.
-func (a *attempt) request() []byte {
+// request writes the job as the node reads it, and returns how long it is told that the submitter waits.
+func (a *attempt) request() (text []byte, told time.Duration) {
 	p := a.job.Payload.(*payload)
 	b := fmt.Appendf(nil, "%s %s HTTP/1.1\r\nHost: %s\r\n", p.method, p.target, a.node)
 	for _, h := range []string{headerID, headerKey, headerClass, headerTenant, headerLabels, "Content-Type"} {
@@ -254,9 +280,9 @@
 			b = fmt.Appendf(b, "%s: %s\r\n", h, v)
 		}
 	}
-	b = fmt.Appendf(b, "%s: %s\r\nContent-Length: %d\r\n\r\n",
-		headerRemaining, formatRemaining(time.Until(a.until)), len(p.body))
-	return append(b, p.body...)
+	told = time.Until(a.until)
+	b = fmt.Appendf(b, "%s: %s\r\nContent-Length: %d\r\n\r\n", headerRemaining, formatRemaining(told), len(p.body))
+	return append(b, p.body...), told
 }
 
 // statusCode reads an answer other than 200. Only the protocol's own word proves
--- a/internal/platform/machines.go
+++ b/internal/platform/machines.go
@@ -65,6 +65,7 @@
 type machine struct {
 	dial       string
 	state      foxlift.WorkerState
+	off        time.Time // since when the list has it as not live; zero: it is live
 	born       time.Time // its process's last start
 	told       int64     // the same as it was told
 	zone, kind unique.Handle[string]
@@ -119,7 +120,7 @@
 			born = old.born.UnixMilli()
 		}
 		m.entries[h.Host] = machine{
-			dial: h.Dial, state: state, born: time.UnixMilli(born), told: h.Born,
+			dial: h.Dial, state: state, off: offSince(before[h.Host], state), born: time.UnixMilli(born), told: h.Born,
 			zone: unique.Make(h.Zone), kind: unique.Make(h.Kind), cell: h.Cell,
 		}
 		m.changed(h.Host, state)
@@ -131,6 +132,17 @@
 	return workers
 }
 
+// offSince returns since when a node is not live, from its entry before and its state now.
+func offSince(before machine, state foxlift.WorkerState) time.Time {
+	switch {
+	case state == foxlift.Live:
+		return time.Time{}
+	case before.state != foxlift.Live:
+		return before.off
+	}
+	return time.Now()
+}
+
 // noteMissing tells of the nodes that were in the list before and are in it no more.
 func (m *machines) noteMissing(before map[string]machine) {
 	for node := range before {
@@ -177,14 +189,15 @@
 	return e, ok && e.state == foxlift.Live
 }
 
-// stateOf returns what the list says of a node; one that it does not name is gone.
-func (m *machines) stateOf(node string) foxlift.WorkerState {
+// stateOf returns what the list says of a node, and since when if it is not live; one that it does not
+// name is gone, nobody knows since when.
+func (m *machines) stateOf(node string) (state foxlift.WorkerState, since time.Time) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if e, ok := m.entries[node]; ok {
-		return e.state
+		return e.state, e.off
 	}
-	return foxlift.Gone
+	return foxlift.Gone, time.Time{}
 }
 
 // waitEndLocked returns until when a claim that has waited since began waits for an answer to be
--- a/internal/platform/nodes.go
+++ b/internal/platform/nodes.go
@@ -27,8 +27,9 @@
 
 // nodes holds the connections to execute nodes. It implements core.Nodes.
 type nodes struct {
-	find      func(node string) (machine, bool)     // a node's entry, if new work may go there now
-	stateOf   func(node string) foxlift.WorkerState // what the list says of a node
+	find      func(node string) (machine, bool)                  // a node's entry, if new work may go there now
+	stateOf   func(node string) (foxlift.WorkerState, time.Time) // what the list says of a node, and since when
+	grace     time.Duration                                      // in which sends to a node that drains or is gone have to stop
 	log       *zap.Logger
 	counters  *counters.Set
 	connect   time.Duration // most that a dial may take
@@ -58,7 +59,7 @@
 
 func newNodes(list *machines, s *config.Settings, set *counters.Set, log *zap.Logger, budget int) *nodes {
 	n := &nodes{
-		find: list.find, stateOf: list.stateOf, log: log, counters: set, connect: defaultConnect, idleLimit: defaultIdle, budget: budget,
+		find: list.find, stateOf: list.stateOf, grace: time.Duration(s.DrainGrace), log: log, counters: set, connect: defaultConnect, idleLimit: defaultIdle, budget: budget,
 		loads: loads{s.GaugeNames, set}, idle: map[string][]*nodeConn{},
 		repeatable: map[string]bool{},
 	}
--- a/internal/platform/submitter.go
+++ b/internal/platform/submitter.go
@@ -15,6 +15,7 @@
 	"go.uber.org/zap"
 
 	"github.com/vatu-meals/foxlift/internal/core"
+	"github.com/vatu-meals/foxlift/internal/guard"
 )
 
 const (
@@ -41,6 +42,7 @@
 	began  time.Time
 	retire atomic.Bool // to end as soon as it is idle
 	wrote  time.Time   // the last answer
+	owed   bool        // a job was taken from it, and its answer has not been written
 
 	// Guarded by front.mu.
 	awaiting bool          // the next request has not begun
@@ -83,6 +85,9 @@
 // there is nothing to take along, and others may wait for the room.
 func (s *submitter) finish() {
 	defer s.conn.Close()
+	if rule := (guard.Close{Owed: s.owed, Left: hungUp(s.conn)}).Check(); rule != guard.Kept {
+		s.front.counters.Add(rule.Counter())
+	}
 	if time.Since(s.wrote) >= s.front.grace && !unsent(s.conn) {
 		return
 	}
@@ -165,6 +170,7 @@
 	}
 	s.front.prove(s)
 	over := !s.front.label(s, job)
+	s.owed = true
 	answer, ends := s.run(job)
 	return s.write(s.word(answer), req.Close || ends || over)
 }
@@ -241,6 +247,7 @@
 		}
 		if err := s.buf.fill(); err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
 			left = true
+			job.NoteLeft()
 			s.front.core.Left(job)
 		}
 	}
@@ -309,6 +316,7 @@
 	s.conn.SetWriteDeadline(time.Now().Add(writeLimit))
 	s.wrote = time.Now()
 	_, err := s.conn.Write(b)
+	s.owed = s.owed && err != nil
 	return err == nil && !ends
 }
 
