--- a/cmd/foxlift-lab/main.go
+++ b/cmd/foxlift-lab/main.go
@@ -27,7 +27,7 @@
 		Use: "foxlift-lab", Short: "Demonstrations and measurements of foxlift on loopback",
 		SilenceErrors: true, SilenceUsage: true,
 	}
-	cmd.AddCommand(demo(), cells(), loops(), speed(), standIns(), fuzzRunner(), mutants(), coldStart(), keyed(), upgrade(), capacityCommand())
+	cmd.AddCommand(demo(), cells(), loops(), speed(), standIns(), fuzzRunner(), mutants(), coldStart(), keyed(), upgrade(), capacityCommand(), soakCommand())
 	return cmd
 }
 
--- a/internal/lab/fleet/fleet.go
+++ b/internal/lab/fleet/fleet.go
@@ -356,6 +356,16 @@
 	return sum
 }
 
+// Arrivals returns the requests with a job that have reached any node.
+func (f *Fleet) Arrivals() (all []standin.Arrival) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, n := range f.nodes {
+		all = append(all, n.Arrivals()...)
+	}
+	return all
+}
+
 // Close ends everything: each process by its own id.
 func (f *Fleet) Close() {
 	f.KillAll()
--- /dev/null
+++ b/internal/lab/soak/faults.go
@@ -0,0 +1,335 @@
+package soak
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"syscall"
+	"time"
+
+	"github.com/vatu-meals/foxlift/internal/lab/fleet"
+	"github.com/vatu-meals/foxlift/internal/standin"
+)
+
+// A fault is one thing that goes wrong: from a time on, for a while.
+type fault struct {
+	kind   int
+	at     time.Duration
+	length time.Duration
+	pick   uint64 // draws its target and the like
+}
+
+// A kind is a kind of fault. begin makes it so and returns what ends it; nil if it did not come to it.
+type kind struct {
+	name   string
+	weight int
+	most   time.Duration // that it lasts
+	begin  func(p *run, rng *rand.Rand) (end func())
+}
+
+const (
+	shortest    = 200 * time.Millisecond
+	faultsEach  = 700 * time.Millisecond // on average one fault begins in this time
+	discoveryIs = "discovery"            // as a target
+)
+
+var kinds = []kind{
+	{"discovery's answers are spoilt", 4, 9 * time.Second, spoilDiscovery},
+	{"discovery is down", 2, 6 * time.Second, discoveryDown},
+	{"a scheduler hears nothing of discovery", 2, 6 * time.Second, discoverySilent},
+	{"a node drains and leaves", 4, 4 * time.Second, drainNode},
+	{"a node is killed and comes back cold", 3, 4 * time.Second, killNode},
+	{"a node hangs", 2, 3 * time.Second, hangNode},
+	{"a node is cut off and taken off the list", 4, 9 * time.Second, cutNode},
+	{"a link is silent", 3, 4 * time.Second, silentLink},
+	{"a link is reset", 3, shortest, resetLink},
+	{"a link is slow", 2, 3 * time.Second, slowLink},
+	{"submitters leave", 3, time.Second, (*run).leave},
+	{"submitters stop half way", 1, 4 * time.Second, halfRequests},
+	{"a scheduler is killed and starts with its old list", 4, 9 * time.Second, killScheduler},
+	{"a scheduler is ended and starts again", 3, 2 * time.Second, endScheduler},
+	{"a scheduler stands still", 3, 150 * time.Millisecond, stopScheduler},
+	{"a scheduler reads its configuration again", 2, shortest, reloadScheduler},
+}
+
+// draw draws the faults of a run from its seed, in the order in which they begin.
+func (p *run) draw() (faults []fault) {
+	var by []int
+	for i, k := range kinds {
+		for range k.weight {
+			by = append(by, i)
+		}
+	}
+	for at := time.Duration(0); ; {
+		at += time.Duration(p.rng.ExpFloat64() * float64(faultsEach))
+		if at >= p.For {
+			return faults
+		}
+		k := by[p.rng.IntN(len(by))]
+		length := shortest + time.Duration(p.rng.Int64N(int64(max(1, kinds[k].most-shortest))))
+		faults = append(faults, fault{k, at, min(length, kinds[k].most), p.rng.Uint64()})
+	}
+}
+
+// overlapping counts the faults during which another one lasts.
+func overlapping(faults []fault) (n int) {
+	for i, a := range faults {
+		if slices.ContainsFunc(faults, func(b fault) bool {
+			return b != faults[i] && b.at < a.at+a.length && a.at < b.at+b.length
+		}) {
+			n++
+		}
+	}
+	return n
+}
+
+// play makes the faults happen, each at its time, and returns when all have ended.
+func (p *run) play(faults []fault) {
+	for _, f := range faults {
+		p.wait.Go(func() {
+			<-time.After(time.Until(p.began.Add(f.at)))
+			k := kinds[f.kind]
+			end := k.begin(p, rand.New(rand.NewPCG(f.pick, 1)))
+			if end == nil {
+				return
+			}
+			<-time.After(f.length)
+			end()
+		})
+	}
+	p.wait.Wait()
+}
+
+// claim takes a target for a fault that excludes others there.
+func (p *run) claim(target string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.busy[target] {
+		return false
+	}
+	p.busy[target] = true
+	return true
+}
+
+func (p *run) release(target string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	delete(p.busy, target)
+}
+
+// claimNode takes a node that is up and under no other fault; nil if the one that was drawn is.
+func (p *run) claimNode(rng *rand.Rand) *standin.Node {
+	nodes := p.f.Nodes()
+	n := nodes[rng.IntN(len(nodes))]
+	if !p.claim(n.Name) {
+		return nil
+	}
+	return n
+}
+
+// claimProcess takes a scheduler's process.
+func (p *run) claimProcess(rng *rand.Rand) (i int, target string) {
+	i = rng.IntN(p.Schedulers)
+	if target = fmt.Sprint("process ", i); !p.claim(target) {
+		return -1, ""
+	}
+	return i, target
+}
+
+func spoilDiscovery(p *run, rng *rand.Rand) func() {
+	if !p.claim(discoveryIs) {
+		return nil
+	}
+	p.f.Discovery.SpoilAnswers(standin.Spoils[rng.IntN(len(standin.Spoils))])
+	return func() {
+		p.f.Discovery.SpoilAnswers(standin.NoSpoil)
+		p.release(discoveryIs)
+	}
+}
+
+// unreachable makes discovery unreachable for some schedulers.
+func (p *run) unreachable(which []int, begin func(*fleet.Link)) func() {
+	if !p.claim(discoveryIs) {
+		return nil
+	}
+	from := time.Now()
+	for _, i := range which {
+		begin(p.f.Links[i])
+	}
+	return func() {
+		for _, i := range which {
+			p.f.Links[i].Heal()
+			p.record.unreachable(i, from, time.Now())
+		}
+		p.release(discoveryIs)
+	}
+}
+
+func discoveryDown(p *run, _ *rand.Rand) func() {
+	var all []int
+	for i := range p.Schedulers {
+		all = append(all, i)
+	}
+	return p.unreachable(all, (*fleet.Link).Cut)
+}
+
+func discoverySilent(p *run, rng *rand.Rand) func() {
+	return p.unreachable([]int{rng.IntN(p.Schedulers)}, func(l *fleet.Link) { l.Silence(fleet.There, fleet.Back) })
+}
+
+func drainNode(p *run, rng *rand.Rand) func() {
+	n := p.claimNode(rng)
+	if n == nil {
+		return nil
+	}
+	p.f.Discovery.Put(n, "leaving")
+	return func() { // its log is kept: it goes on listening
+		p.f.Discovery.Put(n, "left")
+		p.f.Discovery.Put(n, "active")
+		p.release(n.Name)
+	}
+}
+
+func killNode(p *run, rng *rand.Rand) func() {
+	n := p.claimNode(rng)
+	if n == nil {
+		return nil
+	}
+	n.Crash()
+	if rng.IntN(2) == 0 {
+		p.f.Discovery.Put(n, "left")
+	}
+	return func() {
+		if _, err := p.f.Restart(n, ""); err != nil {
+			p.say("restart of %s: %v", n.Name, err)
+		}
+		p.release(n.Name)
+	}
+}
+
+func hangNode(p *run, rng *rand.Rand) func() {
+	n := p.claimNode(rng)
+	if n == nil {
+		return nil
+	}
+	n.Behave(standin.Behaviour{Hang: true})
+	return func() {
+		n.Behave(standin.Behaviour{})
+		p.release(n.Name)
+	}
+}
+
+// cutNode cuts a node off from all schedulers, has discovery notice it after a while, and joins it again.
+func cutNode(p *run, rng *rand.Rand) func() {
+	n := p.claimNode(rng)
+	if n == nil {
+		return nil
+	}
+	from := time.Now()
+	for i := range p.Schedulers {
+		p.f.NodeLink(i, n).Silence(fleet.There, fleet.Back)
+	}
+	notice := time.AfterFunc(time.Duration(rng.Int64N(int64(2*time.Second))), func() { p.f.Discovery.Put(n, "left") })
+	return func() {
+		notice.Stop()
+		for i := range p.Schedulers {
+			p.f.NodeLink(i, n).Heal()
+			p.record.link(i, n.Name, from, time.Now())
+		}
+		p.wait.Go(func() {
+			<-time.After(time.Second) // discovery notices later
+			p.f.Discovery.Put(n, "active")
+			p.release(n.Name)
+		})
+	}
+}
+
+// onLink lets a fault befall the link of one scheduler to one node.
+func (p *run) onLink(rng *rand.Rand, begin func(*fleet.Link)) func() {
+	n := p.claimNode(rng)
+	if n == nil {
+		return nil
+	}
+	i, from := rng.IntN(p.Schedulers), time.Now()
+	l := p.f.NodeLink(i, n)
+	begin(l)
+	return func() {
+		l.Heal()
+		p.record.link(i, n.Name, from, time.Now())
+		p.release(n.Name)
+	}
+}
+
+func silentLink(p *run, rng *rand.Rand) func() {
+	ways := [][]fleet.Way{{fleet.There}, {fleet.Back}, {fleet.There, fleet.Back}}[rng.IntN(3)]
+	return p.onLink(rng, func(l *fleet.Link) { l.Silence(ways...) })
+}
+
+func resetLink(p *run, rng *rand.Rand) func() { return p.onLink(rng, (*fleet.Link).Reset) }
+
+func slowLink(p *run, rng *rand.Rand) func() {
+	delay := time.Duration(rng.Int64N(int64(50 * time.Millisecond)))
+	return p.onLink(rng, func(l *fleet.Link) { l.Slow(delay, 20_000) })
+}
+
+// killScheduler kills a process. It starts again with the list as it was at the run's start.
+func killScheduler(p *run, rng *rand.Rand) func() {
+	i, target := p.claimProcess(rng)
+	if i < 0 {
+		return nil
+	}
+	process := p.f.Processes[i]
+	p.record.killed(i, time.Now())
+	process.Kill()
+	return func() { p.start(process, target) }
+}
+
+func (p *run) start(process *fleet.Process, target string) {
+	if err := process.Start(); err != nil {
+		p.say("start of %s: %v", process.Name, err)
+	}
+	p.wait.Go(func() {
+		if err := process.AwaitReady(readyLimit); err != nil {
+			p.say("%v", err)
+		}
+		p.release(target)
+	})
+}
+
+func endScheduler(p *run, rng *rand.Rand) func() {
+	i, target := p.claimProcess(rng)
+	if i < 0 {
+		return nil
+	}
+	process := p.f.Processes[i]
+	p.record.ended(i, time.Now())
+	p.wait.Go(func() {
+		if err := process.End(); err != nil {
+			p.record.badExit()
+			p.say("%s ended: %v", process.Name, err)
+		}
+		p.start(process, target)
+	})
+	return func() {}
+}
+
+func stopScheduler(p *run, rng *rand.Rand) func() {
+	i, target := p.claimProcess(rng)
+	if i < 0 {
+		return nil
+	}
+	p.f.Processes[i].Signal(syscall.SIGSTOP)
+	return func() {
+		p.f.Processes[i].Signal(syscall.SIGCONT)
+		p.release(target)
+	}
+}
+
+func reloadScheduler(p *run, rng *rand.Rand) func() {
+	i, target := p.claimProcess(rng)
+	if i < 0 {
+		return nil
+	}
+	p.f.Processes[i].Signal(syscall.SIGHUP)
+	return func() { p.release(target) }
+}
--- /dev/null
+++ b/internal/lab/soak/soak.go
@@ -0,0 +1,156 @@
+// Package soak plays faults that overlap in time against many real processes of the scheduler, drawn from a
+// seed, and judges by what execute nodes, discovery and submitters recorded (docs/operate/soak.md).
+package soak
+
+import (
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/vatu-meals/foxlift/internal/lab"
+	"github.com/vatu-meals/foxlift/internal/lab/fleet"
+	"github.com/vatu-meals/foxlift/internal/standin"
+)
+
+// Options say what one run is made of.
+type Options struct {
+	Program    string // the scheduler's binary
+	Schedulers int
+	Nodes      int
+	Seed       uint64
+	For        time.Duration // how long faults begin
+	Load       float64       // jobs a second at each scheduler
+}
+
+// Default is the run that the operators' page speaks of.
+var Default = Options{Program: "bin/foxlift", Schedulers: 10, Nodes: 10, For: 30 * time.Second, Load: 12}
+
+// Violations counts broken rules, by the names of package guard, and exit codes that are not 0.
+type Violations struct {
+	Drain, Lost, Duplicate, Gone, Deadline, SlowStart, Exit int
+}
+
+// Sum returns all violations.
+func (v Violations) Sum() int {
+	return v.Drain + v.Lost + v.Duplicate + v.Gone + v.Deadline + v.SlowStart + v.Exit
+}
+
+// A Result is what a run, or several, saw.
+type Result struct {
+	Seeds, Processes    int
+	Faults, Overlapping int
+	Sends               int
+	Tally               standin.Tally
+	Violations          Violations
+}
+
+// Add adds another run's result.
+func (r *Result) Add(o Result) {
+	r.Seeds += o.Seeds
+	r.Processes = max(r.Processes, o.Processes)
+	r.Faults += o.Faults
+	r.Overlapping += o.Overlapping
+	r.Sends += o.Sends
+	r.Tally = standin.Total(r.Tally, o.Tally)
+	v, w := &r.Violations, o.Violations
+	v.Drain += w.Drain
+	v.Lost += w.Lost
+	v.Duplicate += w.Duplicate
+	v.Gone += w.Gone
+	v.Deadline += w.Deadline
+	v.SlowStart += w.SlowStart
+	v.Exit += w.Exit
+}
+
+// Line is the result in one line.
+func (r *Result) Line() string {
+	v, t := r.Violations, r.Tally
+	served := 100 * float64(t.Served+t.Late) / float64(max(1, t.Asked))
+	return fmt.Sprintf("soak: seeds %d, processes %d, faults %d (overlapping %d), sends %d, violations %d "+
+		"(drain %d, lost %d, duplicate %d, gone %d, deadline %d, slowstart %d, exit %d), served %.1f %%",
+		r.Seeds, r.Processes, r.Faults, r.Overlapping, r.Sends, v.Sum(),
+		v.Drain, v.Lost, v.Duplicate, v.Gone, v.Deadline, v.SlowStart, v.Exit, served)
+}
+
+const (
+	readyLimit  = 30 * time.Second
+	settleTime  = 500 * time.Millisecond // of load before the first fault
+	answerGrace = 500 * time.Millisecond // past a job's time: its answer earns nothing, but is one
+)
+
+// world is the deployment: two zones, two kinds of node, a class that may be repeated and one that may not.
+func (o Options) world() lab.World {
+	return lab.World{
+		Schedulers: o.Schedulers, Sockets: 512, Zones: []string{"east", "west"},
+		Kinds:   []lab.Kind{{Name: "large", Count: o.Nodes / 2, Slots: 6, Speed: 1.5}, {Name: "small", Count: o.Nodes - o.Nodes/2, Slots: 4, Speed: 1}},
+		Tenants: []lab.Tenant{{Name: "all", Share: 1}},
+		Classes: []lab.Class{
+			{Name: "reading", Effect: "idempotent", Work: 60 * time.Millisecond, Part: 0.7, Aim: 500 * time.Millisecond, Wait: 3 * time.Second},
+			{Name: "ratify", Effect: "at_most_once", Work: 250 * time.Millisecond, Part: 0.3, Aim: 2 * time.Second, Wait: 12 * time.Second},
+		},
+	}
+}
+
+// A run is one seed's play.
+type run struct {
+	Options
+	f       *fleet.Fleet
+	rng     *rand.Rand
+	log     io.Writer
+	began   time.Time
+	record  record
+	leavers leavers
+
+	mu   sync.Mutex
+	busy map[string]bool // nodes and processes under a fault that excludes others
+	wait sync.WaitGroup
+}
+
+// Run plays one seed. What it sees broken is written to log, a line each.
+func (o Options) Run(log io.Writer) (r Result, err error) {
+	f, err := fleet.New(fleet.Options{
+		World: o.world(), Program: o.Program, NodeLinks: true,
+		Price: standin.Price{Call: time.Millisecond, Line: 50 * time.Microsecond, Patience: 2 * time.Second},
+		Cold:  &standin.Cold{From: 0.2, Warm: 10 * time.Second, Multiple: 3, Window: time.Second},
+	})
+	if err != nil {
+		return r, err
+	}
+	defer f.Close()
+	p := &run{Options: o, f: f, rng: rand.New(rand.NewPCG(o.Seed, 17)), log: log, busy: map[string]bool{}}
+	if err := f.StartAll(readyLimit); err != nil {
+		return r, err
+	}
+	load := f.StartLoadWith("soak", o.Load*float64(o.Schedulers), o.Seed, fleet.Leniency{Grace: answerGrace, Excuse: p.excuse})
+	<-time.After(settleTime)
+	p.began = time.Now()
+	faults := p.draw()
+	p.play(faults)
+	tally := load.Stop()
+	p.leavers.wait.Wait()
+	p.endAll(&r.Violations)
+	r.Seeds, r.Processes, r.Faults, r.Overlapping = 1, o.Schedulers, len(faults), overlapping(faults)
+	r.Tally = tally
+	p.judge(load, &r)
+	return r, nil
+}
+
+// excuse says whether a job at a process is owed no answer, since the process was killed after it was sent.
+func (p *run) excuse(i int) func(time.Time) bool {
+	return func(sent time.Time) bool { return p.record.killedSince(i, sent) }
+}
+
+// endAll ends all processes with SIGTERM; each has to end with exit code 0.
+func (p *run) endAll(v *Violations) {
+	if err := p.f.EndAll(); err != nil {
+		v.Exit += strings.Count(err.Error(), "exit status") + strings.Count(err.Error(), "signal:")
+		p.say("exit: %v", err)
+	}
+}
+
+func (p *run) say(format string, args ...any) {
+	fmt.Fprintf(p.log, "seed %d, %6.2f s: %s\n", p.Seed, time.Since(p.began).Seconds(), fmt.Sprintf(format, args...))
+}
--- a/internal/standin/discovery.go
+++ b/internal/standin/discovery.go
@@ -55,6 +55,9 @@
 	seconds map[int64]int
 	first   map[string]time.Time // first answer to each view
 	told    map[string]int       // version of the last answer to each view
+	writes  map[string][]Write
+	changes []Change
+	spoiler spoiler
 }
 
 // StartDiscovery starts a discovery that knows these nodes.
@@ -69,7 +72,7 @@
 func DiscoveryOn(l net.Listener, nodes ...*Node) *Discovery {
 	d := &Discovery{
 		changed: make(chan struct{}), turn: make(chan struct{}, 1), at: map[string]int{}, places: map[string]int{},
-		seconds: map[int64]int{}, first: map[string]time.Time{}, told: map[string]int{},
+		seconds: map[int64]int{}, first: map[string]time.Time{}, told: map[string]int{}, writes: map[string][]Write{},
 	}
 	for _, n := range nodes {
 		d.Put(n, "active")
@@ -135,6 +138,7 @@
 			d.hosts = append(d.hosts, h)
 		}
 		d.at[h.Host] = d.seq
+		d.changes = append(d.changes, Change{d.seq, h.Host, h.Health, time.Now()})
 	}
 	close(d.changed)
 	d.changed = make(chan struct{})
@@ -197,7 +201,11 @@
 	}
 	body, err := json.Marshal(list)
 	if err == nil {
-		_, err = io.WriteString(c, fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(body), body))
+		answer := fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
+		if spoilt, on := d.spoiler.spoil(c, answer); spoilt {
+			return on
+		}
+		_, err = io.WriteString(c, answer)
 	}
 	if err == nil {
 		d.mu.Lock()
@@ -205,6 +213,7 @@
 			d.first[view] = time.Now()
 		}
 		d.told[view] = list.Version
+		d.writes[view] = append(d.writes[view], Write{list.Version, time.Now()})
 		d.mu.Unlock()
 	}
 	return err == nil
--- a/internal/standin/node.go
+++ b/internal/standin/node.go
@@ -61,7 +61,8 @@
 		if _, err := br.Peek(1); err != nil {
 			return
 		}
-		s.lastBegun.Store(time.Now().UnixNano())
+		begun := time.Now()
+		s.lastBegun.Store(begun.UnixNano())
 		r, err := http.ReadRequest(br)
 		if err != nil {
 			return
@@ -72,6 +73,7 @@
 		}
 		r.Body = io.NopCloser(bytes.NewReader(body))
 		s.Got.Add(1)
+		stamp(r, begun)
 		if !handle(c, r, r.Header.Get("X-Txn")) {
 			return
 		}
@@ -150,6 +152,7 @@
 	requests  atomic.Int64 // with a job
 	mu        sync.Mutex
 	runs      map[string]int
+	arrivals  []Arrival
 	tenants   map[string]int
 	lately    []sent // within Cold.Window, while it is cold
 	fallen    bool
@@ -262,6 +265,9 @@
 func (n *Node) handle(c net.Conn, r *http.Request, id string) bool {
 	b := *n.behaviour.Load()
 	if id != "" {
+		n.mu.Lock()
+		n.arrivals = append(n.arrivals, arrival(n.Name, id, r))
+		n.mu.Unlock()
 		if number := n.requests.Add(1); b.FailOne > 0 && number%b.FailOne == 0 {
 			b.Fail = true
 		}
