The list's lease ends by its age alone, and 4 s after another discovery was named

From the audit of paths that end, repeat, restart or hand over: a watch that neither answers nor fails kept the list believed; after SIGHUP what the new discovery has counts 4 s later, the lease ran on for 6 s; a successor that never hears of discovery said yes after 5 s (its own hold), now as before after 4 s.

--- a/api.go
+++ b/api.go
@@ -235,6 +235,7 @@
 	ListSaved                     // the whole list as last known before a restart
 	ListFailed                    // an ask failed or the subscription broke; no entries; see Event.Failure
 	ListConfirmed                 // discovery has answered: the list is up to date; no entries
+	ListMoved                     // another discovery is to be asked; no entries
 )
 
 // A Request is a job that a client asks for.
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -80,6 +80,7 @@
 	stopped chan struct{}
 	stop    sync.Once
 	ready   atomic.Bool
+	listed  atomic.Bool
 	active  atomic.Int64 // jobs taken and not yet answered
 
 	// Owned by run's goroutine.
@@ -255,6 +256,9 @@
 // MachinesConfirmed says that discovery has answered and that nothing has changed.
 func (c *Core) MachinesConfirmed() { c.post(machinesTold{kind: foxlift.ListConfirmed}) }
 
+// MachinesMoved says that another discovery is to be asked from now on.
+func (c *Core) MachinesMoved() { c.post(machinesTold{kind: foxlift.ListMoved}) }
+
 // MachinesFailed says that a call to discovery has failed, and what that tells of it.
 func (c *Core) MachinesFailed(failure foxlift.ListFailure) {
 	c.post(machinesTold{kind: foxlift.ListFailed, failure: failure})
@@ -263,6 +267,9 @@
 // Ready reports whether jobs can be taken: the list has an active machine and can be trusted.
 func (c *Core) Ready() bool { return c.ready.Load() }
 
+// Listed reports whether the list has an active machine, however old it is.
+func (c *Core) Listed() bool { return c.listed.Load() }
+
 // machinesTold is news of the machine list.
 type machinesTold struct {
 	kind    foxlift.ListKind
@@ -279,6 +286,9 @@
 	case foxlift.ListConfirmed:
 		c.confirmList()
 		return
+	case foxlift.ListMoved:
+		c.tellAll(foxlift.Event{Kind: foxlift.EventList, List: e.kind})
+		return
 	}
 	c.counters.Add("machines.told")
 	if e.kind != foxlift.ListSaved {
@@ -309,5 +319,6 @@
 
 // updateReady notes whether jobs can be taken: there is a live machine, and the list that says so holds.
 func (c *Core) updateReady() {
+	c.listed.Store(c.live > 0)
 	c.ready.Store(c.live > 0 && c.cells[0].module.ListTrusted())
 }
--- a/internal/daemon/upgrade.go
+++ b/internal/daemon/upgrade.go
@@ -107,7 +107,7 @@
 		select {
 		case <-look.C:
 		case <-limit:
-			ready = d.Core.Ready
+			ready = d.Core.Listed
 		case <-d.ending:
 			return false
 		}
--- a/internal/lab/soak/mutants.go
+++ b/internal/lab/soak/mutants.go
@@ -5,6 +5,9 @@
 	"fmt"
 	"io"
 	"os"
+	"sync"
+
+	"golang.org/x/sync/errgroup"
 
 	"github.com/vatu-meals/foxlift/internal/lab"
 )
@@ -39,24 +42,36 @@
 	{lab.Mutant{Name: "starts are not heard", File: "machine_list.go", Old: "if w.up != e.Started {", New: "if false {"}, slowStart},
 }
 
-// mostSeeds is how many seeds the soak has to see a mutant.
-const mostSeeds = 10
+const (
+	mostSeeds     = 10 // that the soak has to see a mutant
+	mutantsAtOnce = 3  // that are played side by side
+)
 
 // CheckMutants plays each mutant for at most so many seeds, until its rule is seen broken.
 func CheckMutants(ctx context.Context, w io.Writer, o Options) (caught int, err error) {
+	var mu sync.Mutex
+	var group errgroup.Group
+	group.SetLimit(mutantsAtOnce)
 	for i := range Mutants {
-		seeds, err := Mutants[i].check(ctx, o)
-		switch {
-		case err != nil:
-			return caught, fmt.Errorf("%s: %w", Mutants[i].Name, err)
-		case seeds > mostSeeds:
-			fmt.Fprintf(w, "NOT SEEN in %d seeds  %s\n", mostSeeds, Mutants[i].Name)
-		default:
-			caught++
-			fmt.Fprintf(w, "caught by seed %2d     %s\n", seeds, Mutants[i].Name)
-		}
+		m := &Mutants[i]
+		group.Go(func() error {
+			seeds, err := m.check(ctx, o)
+			mu.Lock()
+			defer mu.Unlock()
+			switch {
+			case err != nil:
+				return fmt.Errorf("%s: %w", m.Name, err)
+			case seeds > mostSeeds:
+				fmt.Fprintf(w, "NOT SEEN in %d seeds  %s\n", mostSeeds, m.Name)
+			default:
+				caught++
+				fmt.Fprintf(w, "caught by seed %2d     %s\n", seeds, m.Name)
+			}
+			return nil
+		})
 	}
-	return caught, nil
+	err = group.Wait()
+	return caught, err
 }
 
 // check returns by which seed, counted from 1, a mutant was seen.
--- a/internal/platform/machines.go
+++ b/internal/platform/machines.go
@@ -38,6 +38,7 @@
 	settings *config.Settings
 	tell     func(foxlift.ListKind, []foxlift.Worker)
 	confirm  func()                                       // discovery has answered, with no news
+	noteMove func()                                       // another discovery is to be asked
 	fail     func(foxlift.ListFailure)                    // a call has failed
 	changed  func(node string, state foxlift.WorkerState) // of each node that an answer names or leaves out
 	log      *zap.Logger
@@ -79,7 +80,7 @@
 	m := &machines{
 		addr: addr, settings: s, tell: tell, log: log, entries: map[string]machine{}, whole: true,
 		asker: coldstart.NewAsker(s.Module.Dispatchers, longest, rng), lastWords: lastWords,
-		changed: func(string, foxlift.WorkerState) {}, confirm: func() {}, fail: func(foxlift.ListFailure) {},
+		changed: func(string, foxlift.WorkerState) {}, confirm: func() {}, noteMove: func() {}, fail: func(foxlift.ListFailure) {},
 	}
 	if s.Pushed() {
 		m.asker = coldstart.NewAgentAsker(rng)
@@ -243,6 +244,7 @@
 		m.cancel()
 	}
 	m.watchLocked()
+	go m.noteMove() // the core may be busy
 }
 
 // stop ends the watch for good.
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -104,7 +104,8 @@
 	half := (cfg.Sockets - max(spareLeast, cfg.Sockets/sparePart) - AdminConnections(cfg)) / 2
 	front := newFront(c, clock, set, log, nil, half)
 	nodes := newNodes(list, cfg.Settings, set, log, half)
-	list.changed, list.confirm, list.fail = nodes.out.nodeChanged, c.MachinesConfirmed, c.MachinesFailed
+	list.changed = nodes.out.nodeChanged
+	list.confirm, list.noteMove, list.fail = c.MachinesConfirmed, c.MachinesMoved, c.MachinesFailed
 	c.Connect(nodes, list, mostJobs(half))
 	p := &Platform{
 		front: front, machines: list, nodes: nodes, core: c, settings: cfg.Settings,
--- a/list_lease.go
+++ b/list_lease.go
@@ -20,11 +20,10 @@
 
 // A listLease is what the calls to discovery say of the list's age.
 type listLease struct {
-	confirmed   bool  // a call has been answered since the start
-	confirmedAt int64 // when the last one was; the start, before the first
-	failing     bool  // a call has failed since
-	failure     ListFailure
-	exploredAt  int64 // when a worker of which nothing is known was last tried by an old list
+	confirmed   bool        // a call has been answered since the start
+	confirmedAt int64       // when the last one was; the start, before the first
+	failure     ListFailure // what the failed calls since tell
+	exploredAt  int64       // when a worker of which nothing is known was last tried by an old list
 }
 
 const (
@@ -32,6 +31,10 @@
 	// it goes by the list that it was started with: by then discovery is most likely out of order.
 	savedListHold = 5 * second
 
+	// movedLease is how long the list may be relied on after another discovery was named: what that one has
+	// counts as known then.
+	movedLease = 4 * second
+
 	exploreEvery = second // between sends to workers of which nothing is known, by an old list
 	exploreLooks = 8      // at workers, to find one that may be tried
 )
@@ -43,19 +46,22 @@
 
 // fail notes a failed call. What has shown that discovery can be reached stays noted until it answers.
 func (l *listLease) fail(f ListFailure) {
-	if !l.failing || f != FailureUnclear || l.failure == FailureDown {
+	if f != FailureUnclear || l.failure == FailureDown {
 		l.failure = f
 	}
-	l.failing = true
+}
+
+// move notes that another discovery has been named, and is yet to answer.
+func (l *listLease) move(now, lease int64) {
+	l.failure = FailureUnclear
+	l.confirmedAt = min(l.confirmedAt, now-lease+movedLease)
 }
 
 // listFresh reports whether the list holds every change that counts as known.
 func (d *Dispatcher) listFresh() bool {
 	l := &d.lease
-	if d.cfg.ListLease == 0 || l.failing && l.failure == FailureDown {
-		return true
-	}
-	return l.confirmed && (!l.failing || d.now-l.confirmedAt < d.cfg.ListLease)
+	return d.cfg.ListLease == 0 || l.failure == FailureDown ||
+		l.confirmed && d.now-l.confirmedAt < d.cfg.ListLease
 }
 
 // ListTrusted reports whether jobs may be sent by the list as it is known, if only to some workers.
--- a/list_lease_test.go
+++ b/list_lease_test.go
@@ -20,7 +20,7 @@
 		after int64 // since the one before
 		event Event
 	}
-	confirmed := listEvent(ListConfirmed, 0)
+	confirmed, moved := listEvent(ListConfirmed, 0), listEvent(ListMoved, 0)
 	unclear, down, spoilt := listEvent(ListFailed, FailureUnclear), listEvent(ListFailed, FailureDown), listEvent(ListFailed, FailureSpoilt)
 	for _, c := range []struct {
 		name    string
@@ -38,7 +38,11 @@
 		{"nobody listens", []call{{second, down}}, 0, 3, true},
 		{"nobody listened, then refused", []call{{second, down}, {second, unclear}}, 0, 0, false},
 		{"answered", []call{{second, confirmed}}, 0, 3, true},
-		{"answered long ago, on a watch", []call{{second, confirmed}}, time10, 3, true},
+		{"answered long ago, and nothing since", []call{{second, confirmed}}, testLease, 1, true},
+		{"moved, within its lease", []call{{second, confirmed}, {second, moved}}, movedLease - ms, 3, true},
+		{"moved, past it", []call{{second, confirmed}, {second, moved}}, movedLease, 1, true},
+		{"moved, and answered", []call{{second, confirmed}, {second, moved}, {second, confirmed}}, movedLease, 3, true},
+		{"nobody listened, and moved", []call{{second, confirmed}, {second, down}, {second, moved}}, movedLease, 1, true},
 		{"refused, within the lease", []call{{second, confirmed}, {second, unclear}}, testLease - second - ms, 3, true},
 		{"refused, past it", []call{{second, confirmed}, {second, unclear}}, testLease - second, 1, true},
 		{"spoilt, within the lease", []call{{second, confirmed}, {second, spoilt}}, testLease - second - ms, 3, true},
--- a/machine_list.go
+++ b/machine_list.go
@@ -11,9 +11,13 @@
 
 func (d *Dispatcher) onList(e *Event) {
 	c, kind, entries := &d.listCall, e.List, e.Workers
-	if kind == ListConfirmed {
+	switch kind {
+	case ListConfirmed:
 		d.lease.confirm(d.now)
 		return
+	case ListMoved:
+		d.lease.move(d.now, d.cfg.ListLease)
+		return
 	}
 	c.joined, c.waiting = kind != ListFailed && (c.joined || c.waiting), false
 	if kind == ListFailed { // for all together: they spread out, within what counts as not asking
