--- a/internal/standin/node.go
+++ b/internal/standin/node.go
@@ -120,6 +120,7 @@
 // A Behaviour is how a Node treats the jobs that reach it.
 type Behaviour struct {
 	Slower   float64 // its jobs take this many times as long; 0 counts as 1
+	Drains   bool    // it finishes what it has and turns new jobs away
 	Hang     bool    // it takes jobs and answers none
 	Fail     bool    // it answers "failed" at once
 	FailOne  int64   // it does so for one of so many jobs; 0: for none
@@ -272,6 +273,9 @@
 			b.Fail = true
 		}
 	}
+	if b.Drains {
+		return turnAway(c)
+	}
 	class, _, _ := strings.Cut(strings.TrimPrefix(r.URL.Path, "/"), "/")
 	work := n.Work(class)
 	if !n.bears(work) || b.Hang {
@@ -292,8 +296,7 @@
 		if n.Pod != nil {
 			n.Pod.forget(r.Header.Get("Idempotency-Key")) // turned away unseen
 		}
-		_, err := io.WriteString(c, "HTTP/1.1 503 Full\r\nX-Turned-Away: 1\r\nContent-Length: 0\r\n\r\n")
-		return err == nil
+		return turnAway(c)
 	}
 	defer func() { <-n.room }()
 	n.slots <- struct{}{}
@@ -320,6 +323,12 @@
 	return err == nil
 }
 
+// turnAway answers a job that is not taken.
+func turnAway(c net.Conn) bool {
+	_, err := io.WriteString(c, "HTTP/1.1 503 Full\r\nX-Turned-Away: 1\r\nContent-Length: 0\r\n\r\n")
+	return err == nil
+}
+
 // A cutter resets a connection once so many bytes have been written.
 type cutter struct {
 	net.Conn
--- a/internal/standin/submitter.go
+++ b/internal/standin/submitter.go
@@ -21,6 +21,7 @@
 	Late    int // served, but past the aim
 	Refused int
 	Failed  int // an answer that is neither
+	Blamed  int // of those: the submitter is said to be at fault
 	Lost    int // no whole answer, or none in time
 	Cut     int // the same, where Submitter.Excuse says that no answer was owed
 }
@@ -34,6 +35,7 @@
 	t.Late += o.Late
 	t.Refused += o.Refused
 	t.Failed += o.Failed
+	t.Blamed += o.Blamed
 	t.Lost += o.Lost
 	t.Cut += o.Cut
 }
@@ -149,6 +151,9 @@
 		t.Refused = 1
 	case status != 0 && status != notTaken:
 		t.Failed = 1
+		if status >= 400 && status < 500 {
+			t.Blamed = 1
+		}
 	case status == notTaken && s.Excuse != nil:
 		t.Cut = 1
 	case s.Excuse != nil && s.Excuse(began):
