Starts told in wall time are turned into the process's own clocks where they are read

After a step back by an hour a node that has just started counted as an hour old and got no slow start.

Change: one place reads the wall clock, injected, and turns a start into an age. The age of an upgrade's state is still wall time. A probe's connection is reset where its answer never came.

--- a/internal/lab/mutants.go
+++ b/internal/lab/mutants.go
@@ -62,7 +62,7 @@
 	{"any 503 counts as never run", "internal/platform/attempt.go", `turned && resp.Header.Get(headerTurnedAway) == "1"`, "turned", "./internal/platform", platformFuzz},
 	{"a pipelined request is dropped", "internal/platform/buffer.go", "n := m.at - m.Buffered()\n\tm.b.r, m.at", "n := m.at\n\tm.b.r, m.at", "./internal/platform", platformFuzz},
 	{"a buffer loses a byte when it is moved", "internal/platform/buffer.go", "copy(b.data, b.data[b.r:b.w])\n\t\tb.r = 0", "copy(b.data, b.data[b.r:b.w-1])\n\t\tb.r = 0", "./internal/platform", platformFuzz},
-	{"a start in the future is believed", "internal/platform/machines.go", "min(h.Born, now)", "min(h.Born, max(now, h.Born))", "./internal/platform", platformFuzz},
+	{"a start in the future is believed", "internal/platform/machines.go", "age := max(0, wall.Sub(time.UnixMilli(bornMilli)))", "age := wall.Sub(time.UnixMilli(bornMilli))", "./internal/platform", platformFuzz},
 	{"NaN is a number", "internal/config/sexp.go", "err == nil && n >= least && n <= most {\n\t\t\treturn n\n\t\t}\n\t}\n\tr.fault(v, f.key, \"%s is not a number", "err == nil && !(n < least) && !(n > most) {\n\t\t\treturn n\n\t\t}\n\t}\n\tr.fault(v, f.key, \"%s is not a number", "./internal/config", "^TestFuzz"},
 	{"faults are out of order", "internal/config/operator.go", "\t\treturn nil, r.sorted()", "\t\treturn nil, r.faults", "./internal/config", "^TestFuzz"},
 	{"a negative stretch is taken", "internal/config/check.go", "case k.Stretch < 0:", "case false:", "./internal/config", "^TestFuzz"},
--- a/internal/platform/machines.go
+++ b/internal/platform/machines.go
@@ -15,6 +15,7 @@
 	"github.com/vatu-meals/foxlift"
 	"github.com/vatu-meals/foxlift/internal/coldstart"
 	"github.com/vatu-meals/foxlift/internal/config"
+	"github.com/vatu-meals/foxlift/internal/core"
 )
 
 // The list's clock is in coldstart: how long a watch is held, when a silent call is broken, when
@@ -40,6 +41,8 @@
 	confirm  func()                                       // discovery has answered, with no news
 	noteMove func()                                       // another discovery is to be asked
 	fail     func(foxlift.ListFailure)                    // a call has failed
+	wall     func() time.Time                             // the wall clock, for what other machines' clocks tell
+	clock    func() int64                                 // the core's clock
 	changed  func(node string, state foxlift.WorkerState) // of each node that an answer names or leaves out
 	log      *zap.Logger
 	asker    *coldstart.Asker // the watch's alone
@@ -64,11 +67,11 @@
 
 // A machine is an execute node's entry in the list.
 type machine struct {
-	dial       string
-	state      foxlift.WorkerState
-	off        time.Time // since when the list has it as not live; zero: it is live
-	born       time.Time // its process's last start
-	told       int64     // the same as it was told
+	dial  string
+	state foxlift.WorkerState
+	off   time.Time // since when the list has it as not live; zero: it is live
+	processStart
+	told       int64 // its process's last start as it was told
 	zone, kind unique.Handle[string]
 	cell       int
 }
@@ -80,7 +83,7 @@
 	m := &machines{
 		addr: addr, settings: s, tell: tell, log: log, entries: map[string]machine{}, whole: true,
 		asker: coldstart.NewAsker(s.Module.Dispatchers, longest, rng), lastWords: lastWords,
-		changed: func(string, foxlift.WorkerState) {}, confirm: func() {}, noteMove: func() {}, fail: func(foxlift.ListFailure) {},
+		wall: wallClock, clock: core.NewClock().Now, changed: func(string, foxlift.WorkerState) {}, confirm: func() {}, noteMove: func() {}, fail: func(foxlift.ListFailure) {},
 	}
 	if s.Pushed() {
 		m.asker = coldstart.NewAgentAsker(rng)
@@ -88,6 +91,9 @@
 	return m
 }
 
+// wallClock reads the wall clock, without the monotonic one.
+func wallClock() time.Time { return time.Now().Round(0) }
+
 // load takes the list as last known before the start.
 func (m *machines) load(known []byte) ([]foxlift.Worker, error) {
 	l, err := parseKnown(known)
@@ -106,33 +112,48 @@
 		m.entries = make(map[string]machine, len(l.Hosts))
 	}
 	m.version, m.whole, m.conn, m.reading = *l.Version, false, nil, false
-	now := time.Now().UnixMilli()
+	wall := m.wall()
 	var workers []foxlift.Worker
 	if l.Whole {
 		defer m.noteMissing(before)
 	}
 	for _, h := range l.Hosts {
 		state := healths[h.Health]
-		// A start before all time counts as long ago, one in the future as now: a node
-		// would else be cold for as long as its clock is wrong. What is told again is
-		// the same start.
-		born := max(0, min(h.Born, now))
+		start := startOf(h.Born, wall, m.clock)
 		if old, ok := before[h.Host]; ok && old.told == h.Born {
-			born = old.born.UnixMilli()
+			start = old.processStart // told again, it is the same start, wherever the wall clock is now
 		}
 		m.entries[h.Host] = machine{
-			dial: h.Dial, state: state, off: offSince(before[h.Host], state), born: time.UnixMilli(born), told: h.Born,
+			dial: h.Dial, state: state, off: offSince(before[h.Host], state), processStart: start, told: h.Born,
 			zone: unique.Make(h.Zone), kind: unique.Make(h.Kind), cell: h.Cell,
 		}
 		m.changed(h.Host, state)
 		workers = append(workers, foxlift.Worker{
 			ID: h.Host, Zone: config.Find(m.settings.Zones, h.Zone), Kind: config.Find(m.settings.Kinds, h.Kind),
-			Cell: h.Cell, State: state, Started: born * int64(time.Millisecond),
+			Cell: h.Cell, State: state, Started: start.started,
 		})
 	}
 	return workers
 }
 
+// A processStart is when a node's process started; its zero value: long ago.
+type processStart struct {
+	born    time.Time // on this process's monotonic clock
+	started int64     // on the core's clock
+}
+
+// startOf turns a start that another machine's wall clock tells, Unix time in milliseconds, into the clocks of
+// this process, which no step of the wall clock moves. This is the one place where the two meet: wall is the
+// wall clock now, which all machines share. A start before all time counts as long ago, one in the future
+// as now: a node would else be cold for as long as its clock is wrong.
+func startOf(bornMilli int64, wall time.Time, clock func() int64) processStart {
+	if bornMilli <= 0 {
+		return processStart{}
+	}
+	age := max(0, wall.Sub(time.UnixMilli(bornMilli)))
+	return processStart{time.Now().Add(-age), max(1, clock()-int64(age))}
+}
+
 // offSince returns since when a node is not live, from its entry before and its state now.
 func offSince(before machine, state foxlift.WorkerState) time.Time {
 	switch {
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -97,6 +97,7 @@
 func New(cfg *config.Scheduler, c *core.Core, clock core.Clock, set *counters.Set, log *zap.Logger) (*Platform, error) {
 	log = logging.Limited(log) // whatever is logged from here on, others can cause
 	list := newMachines(cfg.Discovery, cfg.Settings, c.Machines, log)
+	list.clock = clock.Now
 	workers, err := list.load(cfg.Known)
 	if err != nil {
 		return nil, err
--- a/internal/platform/probe.go
+++ b/internal/platform/probe.go
@@ -30,6 +30,7 @@
 	conn.SetDeadline(time.Now().Add(probeLimit))
 	r, reusable := n.ask(conn, node)
 	if conn.SetDeadline(time.Time{}) != nil || !reusable {
+		conn.reset() // a probe that is still on its way must not arrive later
 		n.discard(conn)
 	} else {
 		n.keep(conn)
