By an old list nothing is sent, unless discovery refuses calls after a wait

Silence, resets, refusals at once and answers of no use do not look like that outage: past the lease nothing is sent, as long as a process that has had an answer lives.

--- a/internal/coldstart/asker.go
+++ b/internal/coldstart/asker.go
@@ -52,7 +52,7 @@
 	agentWait   = 2 * time.Second         // how long an agent may hold a watch,
 	agentLimit  = 400 * time.Millisecond  // for its answer, and for a connection to it
 	agentPause  = 100 * time.Millisecond  // after a call that failed
-	queuedLeast = 250 * time.Millisecond  // who was refused sooner waited for no turn
+	QueuedLeast = 250 * time.Millisecond  // who was refused sooner waited for no turn
 )
 
 // The figures by which all schedulers together are bounded. With n of them:
@@ -178,8 +178,8 @@
 		// up. What was missed counts as told soon.
 		a.waited, a.failed = 0, 0
 		window = min(fleet, silentMost)
-	case o == Busy && (a.shed > 0 || took < queuedLeast):
-		if took < queuedLeast {
+	case o == Busy && (a.shed > 0 || took < QueuedLeast):
+		if took < QueuedLeast {
 			a.shed = min(a.shed+1, 16)
 		}
 		window = min(failTime-took, max(fleet, growthMost/2)<<a.shed)
--- a/internal/config/check.go
+++ b/internal/config/check.go
@@ -31,7 +31,7 @@
 	}
 	c := &s.Module
 	c.ListOnRequest = true // the protocol has no other way, whatever the simulator's has
-	c.ListLease = int64(coldstart.ToldWithin)
+	c.ListLease = int64(coldstart.ToldWithin + listLeaseGrace)
 	for i := range c.Classes {
 		if k := &c.Classes[i]; k.Effect == foxlift.Deduplicated {
 			k.KeyTTL = max(0, k.KeyTTL-keyMargin)
@@ -40,6 +40,10 @@
 	return nil
 }
 
+// listLeaseGrace is the part of the drains' grace by which the list's lease is longer than the time after
+// which changes count as known. The rest covers a process that stands still.
+const listLeaseGrace = 300 * time.Millisecond
+
 // checkFleet checks what the scheduler is told of itself and of the fleet.
 func (s *Settings) checkFleet() error {
 	c := &s.Module
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -320,5 +320,5 @@
 // updateReady notes whether jobs can be taken: there is a live machine, and the list that says so holds.
 func (c *Core) updateReady() {
 	c.listed.Store(c.live > 0)
-	c.ready.Store(c.live > 0 && c.cells[0].module.ListTrusted())
+	c.ready.Store(c.live > 0 && (c.confirmed || c.cells[0].module.ListTrusted()))
 }
--- a/internal/platform/caller.go
+++ b/internal/platform/caller.go
@@ -45,16 +45,18 @@
 // Unwrap returns what failed.
 func (e answerError) Unwrap() error { return e.error }
 
-// listFailure says what a failed call tells of the list's age. A refusal, a reset and silence may mean that
-// discovery is down or has too many callers.
-func listFailure(err error) foxlift.ListFailure {
+// listFailure says what a failed call that took so long tells of the list's age. A refusal after a wait may
+// mean that discovery is down or has too many callers.
+func listFailure(err error, took time.Duration) foxlift.ListFailure {
 	switch {
 	case errors.As(err, new(answerError)):
 		return foxlift.FailureSpoilt
 	case errors.Is(err, syscall.ECONNREFUSED):
 		return foxlift.FailureDown
+	case outcome(err) == coldstart.Busy && took >= coldstart.QueuedLeast:
+		return foxlift.FailureBusy
 	}
-	return foxlift.FailureUnclear
+	return foxlift.FailureUnanswered
 }
 
 // A caller makes calls to discovery, on one connection while it lasts.
--- a/internal/platform/machines.go
+++ b/internal/platform/machines.go
@@ -315,7 +315,7 @@
 		pause = m.asker.After(outcome(err), min(time.Since(began), m.asker.Limit(0)))
 		if !urgent {
 			m.log.Warn("the watch on the machine list has ended", zap.String("discovery", addr), zap.Error(err), zap.Duration("next", pause))
-			m.fail(listFailure(err))
+			m.fail(listFailure(err, time.Since(began)))
 		}
 	}
 }
--- a/list_lease.go
+++ b/list_lease.go
@@ -2,7 +2,8 @@
 
 // How far the machine list can be trusted. A change counts as known some seconds after discovery had it,
 // whether or not it arrived here, and also while this process was down. By a list that may be older than
-// that nothing is sent, except to workers that have accepted a job since: one that drains accepts none.
+// that nothing is sent, unless discovery may well be down, which tells nobody of changes: then jobs go to
+// workers that have accepted one lately. Some that drain accept jobs too, so that is a guess.
 
 import (
 	"math"
@@ -13,9 +14,10 @@
 type ListFailure uint8
 
 const (
-	FailureUnclear ListFailure = iota // it may be down, or have too many callers
-	FailureDown                       // nobody listens there: it tells nobody of changes
-	FailureSpoilt                     // it answers, with nothing that can be used: what it has counts as known
+	FailureBusy       ListFailure = iota // refused after a wait: it is down, or has too many callers
+	FailureUnanswered                    // refused at once, silent, or reset: it may be there for others
+	FailureDown                          // nobody listens there: it tells nobody of changes
+	FailureSpoilt                        // it answers, with nothing of use: what it has counts as known
 )
 
 // A listLease is what the calls to discovery say of the list's age.
@@ -46,14 +48,14 @@
 
 // fail notes a failed call. What has shown that discovery can be reached stays noted until it answers.
 func (l *listLease) fail(f ListFailure) {
-	if f != FailureUnclear || l.failure == FailureDown {
+	if l.failure != FailureSpoilt || f == FailureDown {
 		l.failure = f
 	}
 }
 
 // move notes that another discovery has been named, and is yet to answer.
 func (l *listLease) move(now, lease int64) {
-	l.failure = FailureUnclear
+	l.failure = FailureBusy
 	l.confirmedAt = min(l.confirmedAt, now-lease+movedLease)
 }
 
@@ -67,7 +69,13 @@
 // ListTrusted reports whether jobs may be sent by the list as it is known, if only to some workers.
 func (d *Dispatcher) ListTrusted() bool {
 	l := &d.lease
-	return d.listFresh() || l.confirmed || l.failure != FailureSpoilt && d.now-l.confirmedAt >= savedListHold
+	switch {
+	case d.listFresh():
+		return true
+	case l.confirmed:
+		return l.failure == FailureBusy
+	}
+	return l.failure != FailureSpoilt && d.now-l.confirmedAt >= savedListHold
 }
 
 // accepts notes that a worker has taken an attempt: when that was sent, it did not drain.
@@ -93,7 +101,7 @@
 }
 
 // pickAccepting finds the worker for a job while the list is old: one that has accepted a job lately, or,
-// now and then where discovery may be down, one of which nothing is known.
+// now and then, one of which nothing is known.
 func (d *Dispatcher) pickAccepting(j *job) *worker {
 	if !d.ListTrusted() {
 		return nil
@@ -115,10 +123,10 @@
 	return best
 }
 
-// explore finds a worker for a job of which nothing is known; nil where that may not be.
+// explore finds a worker of which nothing is known for a job; nil where that may not be yet.
 func (d *Dispatcher) explore(j *job) *worker {
 	l := &d.lease
-	if l.failure == FailureSpoilt || len(d.live) == 0 || l.exploredAt != 0 && d.now-l.exploredAt < exploreEvery {
+	if len(d.live) == 0 || l.exploredAt != 0 && d.now-l.exploredAt < exploreEvery {
 		return nil
 	}
 	for range exploreLooks {
--- a/list_lease_test.go
+++ b/list_lease_test.go
@@ -21,7 +21,8 @@
 		event Event
 	}
 	confirmed, moved := listEvent(ListConfirmed, 0), listEvent(ListMoved, 0)
-	unclear, down, spoilt := listEvent(ListFailed, FailureUnclear), listEvent(ListFailed, FailureDown), listEvent(ListFailed, FailureSpoilt)
+	busy, down, spoilt := listEvent(ListFailed, FailureBusy), listEvent(ListFailed, FailureDown), listEvent(ListFailed, FailureSpoilt)
+	silent := listEvent(ListFailed, FailureUnanswered)
 	for _, c := range []struct {
 		name    string
 		calls   []call
@@ -32,22 +33,26 @@
 		{"just started", nil, 0, 0, false},
 		{"just before the hold's end", nil, savedListHold - ms, 0, false},
 		{"never answered", nil, savedListHold, 1, true},
-		{"never answered, refused", []call{{second, unclear}}, savedListHold, 1, true},
+		{"never answered, refused", []call{{second, busy}}, savedListHold, 1, true},
 		{"never answered, spoilt", []call{{second, spoilt}}, time10, 0, false},
-		{"never answered, spoilt and then refused", []call{{second, spoilt}, {second, unclear}}, time10, 0, false},
+		{"never answered, spoilt and then refused", []call{{second, spoilt}, {second, busy}}, time10, 0, false},
 		{"nobody listens", []call{{second, down}}, 0, 3, true},
-		{"nobody listened, then refused", []call{{second, down}, {second, unclear}}, 0, 0, false},
+		{"nobody listened, then refused", []call{{second, down}, {second, busy}}, 0, 0, false},
 		{"answered", []call{{second, confirmed}}, 0, 3, true},
 		{"answered long ago, and nothing since", []call{{second, confirmed}}, testLease, 1, true},
 		{"moved, within its lease", []call{{second, confirmed}, {second, moved}}, movedLease - ms, 3, true},
 		{"moved, past it", []call{{second, confirmed}, {second, moved}}, movedLease, 1, true},
 		{"moved, and answered", []call{{second, confirmed}, {second, moved}, {second, confirmed}}, movedLease, 3, true},
 		{"nobody listened, and moved", []call{{second, confirmed}, {second, down}, {second, moved}}, movedLease, 1, true},
-		{"refused, within the lease", []call{{second, confirmed}, {second, unclear}}, testLease - second - ms, 3, true},
-		{"refused, past it", []call{{second, confirmed}, {second, unclear}}, testLease - second, 1, true},
+		{"refused, within the lease", []call{{second, confirmed}, {second, busy}}, testLease - second - ms, 3, true},
+		{"refused, past it", []call{{second, confirmed}, {second, busy}}, testLease - second, 1, true},
 		{"spoilt, within the lease", []call{{second, confirmed}, {second, spoilt}}, testLease - second - ms, 3, true},
-		{"spoilt, past it", []call{{second, confirmed}, {second, spoilt}}, testLease - second, 0, true},
-		{"spoilt, refused, past it", []call{{second, confirmed}, {second, spoilt}, {second, unclear}}, time10, 0, true},
+		{"spoilt, past it", []call{{second, confirmed}, {second, spoilt}}, testLease - second, 0, false},
+		{"spoilt, refused, past it", []call{{second, confirmed}, {second, spoilt}, {second, busy}}, time10, 0, false},
+		{"silent, within the lease", []call{{second, confirmed}, {second, silent}}, testLease - second - ms, 3, true},
+		{"silent, past it", []call{{second, confirmed}, {second, silent}}, testLease - second, 0, false},
+		{"silent and then refused, past it", []call{{second, confirmed}, {second, silent}, {second, busy}}, testLease, 1, true},
+		{"never answered, silent", []call{{second, silent}}, savedListHold, 1, true},
 		{"down, past it", []call{{second, confirmed}, {second, down}}, time10, 3, true},
 		{"answered again", []call{{second, confirmed}, {time10, spoilt}, {second, confirmed}}, 0, 3, true},
 	} {
@@ -73,7 +78,7 @@
 func TestOldListUsesWorkersThatAccept(t *testing.T) {
 	r := newRig(t, leaseConfig(), fleet(9)...)
 	r.step(listEvent(ListConfirmed, 0))
-	r.after(second, listEvent(ListFailed, FailureSpoilt))
+	r.after(second, listEvent(ListFailed, FailureBusy))
 	r.after(testLease - 2*second)
 	r.step(r.request(1, 0))
 	w := r.want(ActionSend, 1)[0].Worker
@@ -84,9 +89,14 @@
 		t.Errorf("sent to %s, which accepted nothing, and not to %s", got, w)
 	}
 	r.after(50*ms, outcome(2, 0, w, Full))
+	tries := r.only(ActionSend)
 	r.after(second)
 	r.step(r.request(3, 0))
-	r.want(ActionSend, 0)
+	for _, a := range append(tries, r.only(ActionSend)...) {
+		if a.Worker == w {
+			t.Errorf("sent to %s, which has turned a job away", w)
+		}
+	}
 	r.step(listEvent(ListConfirmed, 0))
 	r.after(100 * ms)
 	r.step(r.request(4, 0))
