--- a/internal/platform/machines.go
+++ b/internal/platform/machines.go
@@ -336,10 +336,11 @@
 		target, limit := pathMembers, m.listLimit()
 		if !whole {
 			wait := m.asker.Wait()
-			if !m.answered {
+			version, answered := m.progress()
+			if !answered {
 				wait = firstWait // a discovery that is silent is known to be so soon after the start
 			}
-			target = fmt.Sprintf("%s?%s=%d&%s=%d", pathMembers, queryIndex, m.version, queryWait, wait.Milliseconds())
+			target = fmt.Sprintf("%s?%s=%d&%s=%d", pathMembers, queryIndex, version, queryWait, wait.Milliseconds())
 			limit = m.asker.Limit(wait)
 		}
 		err := m.call(c, target, limit)
@@ -361,7 +362,8 @@
 		if err != nil {
 			return began, m.noteOversized(err)
 		}
-		if !l.Whole && *l.Version < m.version {
+		version, answered := m.progress()
+		if !l.Whole && *l.Version < version {
 			whole, told, failing = true, false, true // discovery has lost count
 			continue
 		}
@@ -369,7 +371,7 @@
 			m.log.Info("the machine list is followed", zap.String("discovery", addr), zap.Int64("version", *l.Version))
 		}
 		failing = false
-		told = l.Whole || len(l.Hosts) > 0 || !m.answered
+		told = l.Whole || len(l.Hosts) > 0 || !answered
 		if news, err = m.takeFrom(ctx, l); err != nil {
 			return began, err
 		}
@@ -382,6 +384,13 @@
 	}
 }
 
+// progress returns the list's version, and whether a call has been answered since the start.
+func (m *machines) progress() (version int64, answered bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.version, m.answered
+}
+
 // listLimit is how long a call for the whole list may take.
 func (m *machines) listLimit() time.Duration {
 	m.mu.Lock()
