--- a/internal/daemon/operators.go
+++ b/internal/daemon/operators.go
@@ -6,6 +6,7 @@
 
 	"github.com/vatu-meals/foxlift/internal/admin"
 	"github.com/vatu-meals/foxlift/internal/control"
+	"github.com/vatu-meals/foxlift/internal/memory"
 	"github.com/vatu-meals/foxlift/internal/metrics"
 	"github.com/vatu-meals/foxlift/internal/platform"
 )
@@ -31,7 +32,7 @@
 	if d.Config.Admin == "" {
 		return nil
 	}
-	metricsHandler := metrics.Handler(d.Config.Settings.ClassNames(), d.Counters, d.Core)
+	metricsHandler := metrics.Handler(d.Config.Settings.ClassNames(), d.Counters, d.Core, memory.ReadUsage)
 	connections := platform.AdminConnections(d.Config)
 	d.servers.admin, err = admin.Listen(d.lifecycle.drained, d.Config.Admin, connections, d, metricsHandler, d.log)
 	return err
--- a/internal/metrics/golden_test.go
+++ b/internal/metrics/golden_test.go
@@ -14,7 +14,8 @@
 // dashboards and alerts use them.
 func TestExposition(t *testing.T) {
 	w := httptest.NewRecorder()
-	handler := Handler([]string{"first", "second"}, &counters.Set{}, &source{pool: core.WorkerPool{Size: 3, Ejected: 1}})
+	pool := &source{pool: core.WorkerPool{Size: 3, Ejected: 1}}
+	handler := Handler([]string{"first", "second"}, &counters.Set{}, pool, fixedMemory)
 	request := httptest.NewRequestWithContext(t.Context(), http.MethodGet, "/admin/stats", nil)
 	handler.ServeHTTP(w, request)
 	golden.Check(t, "exposition.txt", w.Body.Bytes())
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -15,6 +15,7 @@
 	"github.com/vatu-meals/foxlift/internal/core"
 	"github.com/vatu-meals/foxlift/internal/counters"
 	"github.com/vatu-meals/foxlift/internal/guard"
+	"github.com/vatu-meals/foxlift/internal/memory"
 )
 
 const namespace = "scheduler" // prefix of the name of every metric
@@ -40,18 +41,21 @@
 	classes  []string
 	counters *counters.Set
 	source   Source
+	memory   func() memory.Usage
 	pool     atomic.Value // the last reported core.WorkerPool
 
 	responses, attempts, active, poolSize, poolEjected, violations *prometheus.Desc
+	memoryLimit, memoryMapped, memoryLive                          *prometheus.Desc
 }
 
-// Handler returns an HTTP handler that exposes the metrics, with one series per class and result for jobs.
-func Handler(classes []string, set *counters.Set, source Source) http.Handler {
+// Handler returns an HTTP handler that exposes the metrics, with one series per class and result for jobs. readMemory
+// returns the memory of the process.
+func Handler(classes []string, set *counters.Set, source Source, readMemory func() memory.Usage) http.Handler {
 	describe := func(name, help string, labels ...string) *prometheus.Desc {
 		return prometheus.NewDesc(prometheus.BuildFQName(namespace, "", name), help, labels, nil)
 	}
 	c := &collector{
-		classes: classes, counters: set, source: source,
+		classes: classes, counters: set, source: source, memory: readMemory,
 		responses:   describe("responses_total", "Jobs answered, by class and result.", "kind", "result"),
 		attempts:    describe("tries_total", "Attempts written whole to execute nodes."),
 		active:      describe("active", "Jobs taken and not yet answered."),
@@ -59,6 +63,10 @@
 		poolEjected: describe("pool_ejected", "Listed execute nodes that are avoided."),
 
 		violations: describe("invariant_violations_total", "Actions given up since they would have broken a rule.", "rule"),
+
+		memoryLimit:  describe("memory_limit_bytes", "Soft memory limit of the Go runtime; 0 without one."),
+		memoryMapped: describe("memory_mapped_bytes", "Memory that the Go runtime has from the system."),
+		memoryLive:   describe("memory_live_bytes", "Heap objects found in use by the last garbage collection."),
 	}
 	c.pool.Store(core.WorkerPool{})
 	registry := prometheus.NewRegistry()
@@ -68,7 +76,10 @@
 
 // Describe implements prometheus.Collector.
 func (c *collector) Describe(out chan<- *prometheus.Desc) {
-	for _, d := range []*prometheus.Desc{c.responses, c.attempts, c.active, c.poolSize, c.poolEjected, c.violations} {
+	for _, d := range []*prometheus.Desc{
+		c.responses, c.attempts, c.active, c.poolSize, c.poolEjected, c.violations,
+		c.memoryLimit, c.memoryMapped, c.memoryLive,
+	} {
 		out <- d
 	}
 }
@@ -88,9 +99,20 @@
 	pool := c.workerPool()
 	attempts := c.counters.Get(counters.ClaimsWritten)
 	out <- prometheus.MustNewConstMetric(c.attempts, prometheus.CounterValue, float64(attempts))
-	out <- prometheus.MustNewConstMetric(c.active, prometheus.GaugeValue, float64(c.source.Active()))
-	out <- prometheus.MustNewConstMetric(c.poolSize, prometheus.GaugeValue, float64(pool.Size))
-	out <- prometheus.MustNewConstMetric(c.poolEjected, prometheus.GaugeValue, float64(pool.Ejected))
+	usage := c.memory()
+	for _, gauge := range []struct {
+		desc  *prometheus.Desc
+		value float64
+	}{
+		{c.active, float64(c.source.Active())},
+		{c.poolSize, float64(pool.Size)},
+		{c.poolEjected, float64(pool.Ejected)},
+		{c.memoryLimit, float64(usage.Limit)},
+		{c.memoryMapped, float64(usage.Mapped)},
+		{c.memoryLive, float64(usage.Live)},
+	} {
+		out <- prometheus.MustNewConstMetric(gauge.desc, prometheus.GaugeValue, gauge.value)
+	}
 }
 
 // workerPool returns the state of the worker pool, or its last known state if the core does not report within
--- a/internal/metrics/metrics_test.go
+++ b/internal/metrics/metrics_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/vatu-meals/foxlift/internal/core"
 	"github.com/vatu-meals/foxlift/internal/counters"
+	"github.com/vatu-meals/foxlift/internal/memory"
 )
 
 // A source is a Source with fixed values.
@@ -21,6 +22,8 @@
 func (s *source) Active() int                                         { return 14 }
 func (s *source) WorkerPool(context.Context) (core.WorkerPool, error) { return s.pool, s.err }
 
+func fixedMemory() memory.Usage { return memory.Usage{Limit: 3000, Mapped: 2000, Live: 1000} }
+
 // The metrics have the values of the counters and of the core, with label values escaped. While the core does
 // not report, the worker pool keeps its last values.
 func TestMetricValues(t *testing.T) {
@@ -32,7 +35,7 @@
 	set.AddLabeled("jobs.failed", "C")
 	set.Add(counters.ClaimsWritten)
 	s := &source{pool: core.WorkerPool{Size: 12, Ejected: 2}}
-	handler := Handler([]string{"C", `odd"name`}, set, s)
+	handler := Handler([]string{"C", `odd"name`}, set, s, fixedMemory)
 	read := func() string {
 		w := httptest.NewRecorder()
 		request := httptest.NewRequestWithContext(t.Context(), http.MethodGet, "/admin/stats", nil)
@@ -46,6 +49,7 @@
 		`scheduler_responses_total{kind="C",result="errors"} 1`,
 		`scheduler_responses_total{kind="odd\"name",result="shed"} 1`,
 		"scheduler_tries_total 1", "scheduler_active 14", "scheduler_pool_size 12", "scheduler_pool_ejected 2",
+		"scheduler_memory_limit_bytes 3000", "scheduler_memory_mapped_bytes 2000", "scheduler_memory_live_bytes 1000",
 	} {
 		if !strings.Contains("\n"+text, "\n"+line+"\n") {
 			t.Errorf("line %q is missing in\n%s", line, text)
