Stopped timers of the event loop no longer keep answered jobs in memory

Cause: the deadline timer of each job and the timeout of each attempt refer to the job with its body. They are stopped when the job ends, but the Go runtime keeps stopped timers in its heap until they are over a quarter of it, and each answered id holds a running timer there for the longest deadline (record.go, rememberID). So up to a third as many answered jobs as there are recent ids stayed in memory. Lines at fault: startOverdueTimer in accept.go, send in send.go, postAfter in event_loop.go.

Ruled out as the main cause: bodies of open jobs (12 MB at most), copies of attempts (short-lived), garbage (live memory alone was over the soft limit).

Change: a timer of the event loop (loopTimer) drops its event when it is stopped. What the runtime keeps is a few words.

--- a/internal/core/attempt.go
+++ b/internal/core/attempt.go
@@ -1,10 +1,6 @@
 package core
 
-import (
-	"time"
-
-	"github.com/vatu-meals/foxlift"
-)
+import "github.com/vatu-meals/foxlift"
 
 // An attempt is one try to run a job on one worker. Times are in Unix nanoseconds.
 type attempt struct {
@@ -17,7 +13,7 @@
 	sentAt     int64
 	done       bool         // the attempt has ended
 	code       foxlift.Code // outcome, if done
-	timer      *time.Timer  // ends the attempt at its timeout; nil if it was not sent
+	timer      *loopTimer   // ends the attempt at its timeout; nil if it was not sent
 	cancel     func()       // closes the attempt's connection; nil if it was not sent
 }
 
--- a/internal/core/event_loop.go
+++ b/internal/core/event_loop.go
@@ -65,8 +65,10 @@
 	}
 }
 
-// postAfter posts an event after a delay, unless the returned timer is stopped before. A delay of 0 or less
-// posts it at once, on another goroutine.
-func (l *eventLoop) postAfter(delay time.Duration, e event) *time.Timer {
-	return time.AfterFunc(delay, func() { l.post(e) })
+// postAfter posts an event after a delay, unless the returned timer is stopped before it is applied. A delay of 0 or
+// less posts it at once, on another goroutine.
+func (l *eventLoop) postAfter(delay time.Duration, e event) *loopTimer {
+	t := &loopTimer{event: e}
+	t.timer = time.AfterFunc(delay, func() { l.post(t) })
+	return t
 }
--- a/internal/core/job.go
+++ b/internal/core/job.go
@@ -104,7 +104,7 @@
 	deadline     int64      // when the client stops waiting, in Unix nanoseconds on the core's clock
 	attempts     []*attempt // in the order in which they were created
 	inFlight     int        // number of attempts that have not ended
-	overdueTimer *time.Timer
+	overdueTimer *loopTimer
 
 	cell           *cell    // cell that the job is assigned to
 	priorAttempts  int      // number of attempts created before the job was last assigned to a cell
--- a/internal/core/record.go
+++ b/internal/core/record.go
@@ -31,7 +31,7 @@
 		return
 	}
 	j.answered.Store(true)
-	j.overdueTimer.Stop()
+	j.overdueTimer.stop()
 	delete(c.jobs.open, j.ID)
 	c.updateActive()
 	j.reservation.release()
--- a/internal/core/relay.go
+++ b/internal/core/relay.go
@@ -36,7 +36,7 @@
 	a.job.inFlight--
 	c.countSlots(a, -1)
 	if a.timer != nil {
-		a.timer.Stop()
+		a.timer.stop()
 	}
 	if a.cancel != nil {
 		a.cancel() // has no effect if the worker has ended the attempt
