Heads of messages have 128 lines at most, and jobs keep only the headers that are forwarded

Cause: the parsed form of a header line takes some hundred bytes, that of a 16 KiB head half a megabyte. readRequest bounds the bytes of a head only, and parseJob kept all of the headers as long as the job was open. The same holds for the heads of workers' answers, whose bound was that of the whole answer (144 KiB), kept as long as the attempt ran.

Change: messageReader counts the lines of a head and ends it after maxHeaderLines (431 for a client, a failed attempt or call for a worker or discovery). A payload keeps the six headers that are sent on, a response the two that are used.

Result: the case "many headers" of TestInvalidInput and the check in TestParseJob failed before (status 200, 6 headers kept) and pass; TestManyHeadersOfWorker is new and does not compile before.

--- a/internal/platform/attempt.go
+++ b/internal/platform/attempt.go
@@ -201,7 +201,7 @@
 func (a *attempt) formatRequest() (text []byte, remaining time.Duration) {
 	jobPayload := a.job.Payload.(*payload)
 	request := fmt.Appendf(nil, "%s %s HTTP/1.1\r\nHost: %s\r\n", jobPayload.method, jobPayload.target, a.worker)
-	for _, name := range []string{headerID, headerKey, headerClass, headerTenant, headerLabels, "Content-Type"} {
+	for _, name := range forwardedHeaders {
 		if v := jobPayload.header.Get(name); v != "" {
 			request = fmt.Appendf(request, "%s: %s\r\n", name, v)
 		}
--- a/internal/platform/client_conn_test.go
+++ b/internal/platform/client_conn_test.go
@@ -61,6 +61,7 @@
 		"no HTTP":         {"hello\r\n\r\n", 400, "bad.head", false},
 		"bad header":      {jobText(r, "j", m, "", "no colon"), 400, "bad.head", false},
 		"long head":       {jobText(r, "j", m, "", "X-Long: "+strings.Repeat("x", maxHeadBytes)), 431, "bad.head", false},
+		"many headers":    {jobText(r, "j", m, "", strings.Repeat("A:\r\n", maxHeaderLines)+"B:"), 431, "bad.head", false},
 		"bad length":      {jobText(r, "j", m, "", "-Content-Length", "Content-Length: 1x"), 400, "bad.head", false},
 		"two lengths":     {jobText(r, "j", m, "a", "Content-Length: 2"), 400, "bad.head", false},
 		"length, chunked": {jobText(r, "j", m, "0\r\n\r\n", "Transfer-Encoding: chunked"), 400, "bad.framing", false},
--- a/internal/platform/client_request.go
+++ b/internal/platform/client_request.go
@@ -57,6 +57,8 @@
 		return newInputError(http.StatusBadRequest, counter, "malformed request: %v", err)
 	case errors.Is(msg.err, errMessageTooLong):
 		return newInputError(http.StatusRequestHeaderFieldsTooLarge, counter, "the request is too long")
+	case errors.Is(msg.err, errTooManyHeaderLines):
+		return newInputError(http.StatusRequestHeaderFieldsTooLarge, counter, "the request has too many header lines")
 	case errors.Is(msg.err, os.ErrDeadlineExceeded) && c.server.operatorDrain.Load() != nil:
 		return newInputError(http.StatusServiceUnavailable, "drained", "another scheduler takes jobs")
 	case errors.Is(msg.err, os.ErrDeadlineExceeded):
--- a/internal/platform/job_request.go
+++ b/internal/platform/job_request.go
@@ -16,10 +16,13 @@
 // A payload holds the parts of a client's request that are sent to a worker.
 type payload struct {
 	method, target string
-	header         http.Header
+	header         http.Header // only forwardedHeaders
 	body           []byte
 }
 
+// forwardedHeaders are the headers of a client's request that are sent to a worker as they are.
+var forwardedHeaders = []string{headerID, headerKey, headerClass, headerTenant, headerLabels, "Content-Type"}
+
 // parseJob returns the job of a request that has been read completely. Its error is an *inputError.
 func parseJob(req *http.Request, body []byte) (*core.Job, error) {
 	if ids := req.Header[headerID]; len(ids) != 1 || !isVisibleASCII(ids[0]) {
@@ -60,7 +63,9 @@
 		Memory:            memory,
 		ClientRetry:       req.Header.Get(headerRetry) == "1",
 		HasIdempotencyKey: len(keys) > 0,
-		Payload:           &payload{method: req.Method, target: req.RequestURI, header: req.Header, body: body},
+		Payload: &payload{
+			method: req.Method, target: req.RequestURI, header: selectHeaders(req.Header, forwardedHeaders), body: body,
+		},
 	}, nil
 }
 
--- a/internal/platform/job_request_test.go
+++ b/internal/platform/job_request_test.go
@@ -58,6 +58,9 @@
 		j.Remaining != 480*time.Millisecond || j.Tenant != "islands" {
 		t.Errorf("parseJob() = %+v, %v; want the job of the headers", j, err)
 	}
+	if got := j.Payload.(*payload).header; len(got) != 4 || got.Get(headerRemaining) != "" {
+		t.Errorf("headers kept with the job are %v, want the 4 that are forwarded", got)
+	}
 	for name, c := range map[string]struct {
 		corrupt func(h http.Header)
 		counter string
--- a/internal/platform/message.go
+++ b/internal/platform/message.go
@@ -8,8 +8,12 @@
 	"sync"
 )
 
-// errMessageTooLong is returned if a parser reads beyond the limit of its message.
-var errMessageTooLong = errors.New("message exceeds its size limit")
+var (
+	// errMessageTooLong is returned if a parser reads beyond the limit of its message.
+	errMessageTooLong = errors.New("message exceeds its size limit")
+	// errTooManyHeaderLines is returned if a parser reads beyond maxHeaderLines lines of a head.
+	errTooManyHeaderLines = errors.New("message has too many header lines")
+)
 
 // A message reads one HTTP message from a readBuffer. Its bytes stay in the buffer until close, so that the parser's
 // read-ahead loses no bytes that follow the message.
@@ -20,6 +24,7 @@
 	limit         int   // maximum of read
 	err           error // read error, which parsers may report as malformed input
 	releaseEarly  bool  // release consumed bytes before close
+	head          headScanner
 }
 
 var readerPool = sync.Pool{New: func() any { return bufio.NewReader(nil) }}
@@ -35,12 +40,15 @@
 // response is abandoned. The connection is closed instead.
 type response struct {
 	StatusCode    int
-	Header        http.Header
+	Header        http.Header // only the headers of responseHeaders
 	ContentLength int64
 	Close         bool // the server closes the connection after it
 	Body          io.Reader
 }
 
+// responseHeaders are the headers of responses that are used.
+var responseHeaders = []string{headerLoad, headerRejected}
+
 // readResponse reads the head of a response. It skips informational (1xx) responses before it, except 101.
 func (m *message) readResponse() (*response, error) {
 	for {
@@ -49,9 +57,23 @@
 			return nil, err
 		}
 		if r.StatusCode >= 200 || r.StatusCode == http.StatusSwitchingProtocols {
-			return &response{r.StatusCode, r.Header, r.ContentLength, r.Close, r.Body}, nil
+			header := selectHeaders(r.Header, responseHeaders)
+			r.Header = nil // the body refers to r
+			return &response{r.StatusCode, header, r.ContentLength, r.Close, r.Body}, nil
+		}
+		m.head = headScanner{}
+	}
+}
+
+// selectHeaders returns the headers with the given names.
+func selectHeaders(all http.Header, names []string) http.Header {
+	selected := http.Header{}
+	for _, name := range names {
+		if values := all[name]; len(values) > 0 {
+			selected[name] = values
 		}
 	}
+	return selected
 }
 
 // consumed returns the buffered bytes that the parser has consumed.
@@ -93,6 +115,41 @@
 		}
 	}
 	n := copy(p[:min(len(p), m.limit-m.read)], m.buf.data[m.buf.r+m.read:m.buf.w])
+	if n = m.head.scan(p[:n]); n == 0 {
+		m.err = errTooManyHeaderLines
+		return 0, m.err
+	}
 	m.read += n
 	return n, nil
 }
+
+// A headScanner counts the lines of a message's head as it is read. The parsed form of a line can take fifty times the
+// memory of its text.
+type headScanner struct {
+	lines     int
+	lineBytes int  // bytes of the current line, without carriage returns
+	ended     bool // the empty line that ends the head was read
+}
+
+// scan counts the lines in text, which follows the text of earlier calls, and returns how many bytes of it may be given
+// to the parser: those up to the line maxHeaderLines. It returns 0 if there were that many lines before.
+func (h *headScanner) scan(text []byte) int {
+	for i, char := range text {
+		if h.ended {
+			break
+		}
+		if h.lines == maxHeaderLines {
+			return i
+		}
+		switch char {
+		case '\n':
+			h.lines++
+			h.ended = h.lineBytes == 0
+			h.lineBytes = 0
+		case '\r':
+		default:
+			h.lineBytes++
+		}
+	}
+	return len(text)
+}
--- a/internal/platform/names.go
+++ b/internal/platform/names.go
@@ -51,3 +51,6 @@
 	maxKeyBytes      = 255                           // of an idempotency key
 	maxResponseBytes = maxHeadBytes + 2*maxBodyBytes // of a worker's complete answer, including its framing
 )
+
+// maxHeaderLines is the maximum number of lines of a message's head.
+const maxHeaderLines = 128
