Ids of answered jobs are bounded in length, in number and in bytes

Cause: rememberID kept the id of each answered job for the longest deadline, with a timer of its own, bounded neither in number nor in bytes; parseJob took ids of any length. The state for a successor holds them too, and is not saved over 8 MiB.

Change: an id has 255 bytes at most (400, like a longer idempotency key). recentIDs keeps ids in the order of the answers with one timer, in 1/32 of the memory limit and 1.5 MiB at most (some 8,900 ids of 16 bytes). Beyond that ids of jobs that may run twice go first, the oldest first. Ids of at-most-once jobs that may have run are never dropped early: once they take all of it, new jobs that must not run twice are shed (jobs.ids_full), since a repeat of them could not be told. Jobs that never ran (shed before an attempt) no longer count as such: nothing can run twice by their id.

Two tests of core make ids expire through recentIDs, since the event for a single id is gone; their checks are the same.

Result: the case "long id" of TestInvalidInput failed before (200) and passes.

--- a/internal/core/admit.go
+++ b/internal/core/admit.go
@@ -6,8 +6,9 @@
 	"github.com/vatu-meals/foxlift"
 )
 
-// Stage 2, admit: a job is shed if too many jobs are open or if the scheduler would shut down before the job
-// is done. Otherwise it is assigned to a cell, whose dispatcher sends, queues or sheds it.
+// Stage 2, admit: a job is shed if too many jobs are open, if its id could not be kept after its answer, or if the
+// scheduler would shut down before the job is done. Otherwise it is assigned to a cell, whose dispatcher sends, queues
+// or sheds it.
 
 const defaultRetryAfter = time.Second // retry-after time of jobs that the core sheds, if the settings allow it
 
@@ -28,6 +29,11 @@
 		return
 	}
 	class := &c.settings.Module.Classes[j.class]
+	if class.Effect != foxlift.Idempotent && c.jobs.recent.isFull() {
+		c.counters.Add("jobs.ids_full") // its id could not be kept, so that a repeat would run again
+		c.answer(j, Answer{Verdict: Shed, RetryAfter: c.shedRetryAfter()})
+		return
+	}
 	// A job that takes as long as the latency objective of its class would not be done before the shutdown
 	// deadline. Another scheduler has more time for it.
 	if c.shutdown.endsBefore(c.clock.Now() + class.LatencyObjective) {
--- a/internal/core/cell_placement_test.go
+++ b/internal/core/cell_placement_test.go
@@ -101,7 +101,7 @@
 		t.Errorf("first job has %d answers, want 1; answers to its id are %+v, want one with verdict Rejected",
 			len(first.answers), client.answers)
 	}
-	r.applyEvent(idExpired{"j"})
+	r.expireIDs()
 	if client := acceptAndSettle("j"); client.gotOnly(Rejected) {
 		t.Errorf("answers to an expired id are %+v, want none with verdict Rejected", client.answers)
 	}
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -96,7 +96,7 @@
 		t.Errorf("answers to an answered id are %+v with %d attempts, want one with reason %q with 2 attempts",
 			client.answers, len(r.sent), "repeated id")
 	}
-	r.applyEvent(idExpired{"j"})
+	r.expireIDs()
 	if client := r.submit("j", "ratify", "t"); len(client.answers) != 0 || len(r.sent) != 3 {
 		t.Errorf("answers to an expired id are %+v with %d attempts, want none with 3", client.answers, len(r.sent))
 	}
--- a/internal/core/helpers_test.go
+++ b/internal/core/helpers_test.go
@@ -110,6 +110,11 @@
 	}
 }
 
+// expireIDs makes all ids of answered jobs usable again, as after their retention time.
+func (r *rig) expireIDs() {
+	r.forgetIDs(r.jobs.recent.expire(r.clock.Now() + int64(r.jobs.recent.retention)))
+}
+
 // newJob returns a job and its client.
 func (r *rig) newJob(id, class, tenant string, remaining time.Duration) (*Job, *recordingClient) {
 	client := &recordingClient{}
--- a/internal/core/job_table.go
+++ b/internal/core/job_table.go
@@ -11,19 +11,22 @@
 // A jobTable holds the jobs that are open or have attempts in flight, and the ids of recently answered jobs,
 // which may not be used again yet.
 type jobTable struct {
-	byNumber    map[uint64]*job // all jobs of the table
-	open        map[string]*job // jobs accepted and not yet answered, by the client's id
-	lastNumber  uint64          // number of the job added last
-	recentIDs   map[string]bool // ids answered or restored within idRetention; true: the job must not run twice
-	idRetention time.Duration   // longest deadline of any class
+	byNumber   map[uint64]*job // all jobs of the table
+	open       map[string]*job // jobs accepted and not yet answered, by the client's id
+	lastNumber uint64          // number of the job added last
+
+	recent          recentIDs
+	expiryScheduled bool // an idsExpired event is due
 }
 
 func newJobTable(classes []foxlift.Class) jobTable {
-	t := jobTable{byNumber: map[uint64]*job{}, open: map[string]*job{}, recentIDs: map[string]bool{}}
+	longestDeadline := int64(0)
 	for i := range classes {
-		t.idRetention = max(t.idRetention, time.Duration(classes[i].Deadline))
+		longestDeadline = max(longestDeadline, classes[i].Deadline)
+	}
+	return jobTable{
+		byNumber: map[uint64]*job{}, open: map[string]*job{}, recent: newRecentIDs(time.Duration(longestDeadline)),
 	}
-	return t
 }
 
 // add adds an open job and assigns its number.
@@ -34,10 +37,9 @@
 	t.open[j.ID] = j
 }
 
-// isKnown reports whether a job's id belongs to an open job, or was answered or restored within idRetention.
+// isKnown reports whether a job's id belongs to an open job or is among the recent ids.
 func (t *jobTable) isKnown(id string) bool {
-	_, answered := t.recentIDs[id]
-	return answered || t.open[id] != nil
+	return t.recent.has(id) || t.open[id] != nil
 }
 
 // openInOrder returns the open jobs in the order in which they were added.
--- a/internal/core/record.go
+++ b/internal/core/record.go
@@ -38,7 +38,7 @@
 	c.cells.releaseKey(j)
 	j.cell.recordAnswer(a.Verdict)
 	j.clearSpill()
-	c.rememberID(j.ID, c.settings.Module.Classes[j.class].Effect != foxlift.Idempotent)
+	c.rememberID(j.ID, c.unsafeToRetry(j))
 	c.counters.AddLabeled(VerdictCounters[a.Verdict], j.Class)
 	j.Client.Answer(a)
 	c.jobs.removeIfDone(j)
@@ -63,19 +63,3 @@
 	c.jobs.removeIfDone(a.job)
 	c.reassign(a.job)
 }
-
-// rememberID keeps the id of an answered job for idRetention, the longest deadline of any class. During that
-// time a job with the same id is rejected: a client that sends the same job again, instead of a retry with a new
-// id, would have it run twice.
-func (c *Core) rememberID(id string, mustNotRunTwice bool) {
-	c.jobs.recentIDs[id] = mustNotRunTwice
-	c.loop.postAfter(c.jobs.idRetention, idExpired{id})
-}
-
-// An idExpired event means that the id of an answered job may be used again.
-type idExpired struct{ id string }
-
-func (e idExpired) apply(c *Core) {
-	delete(c.jobs.recentIDs, e.id)
-	c.idsInUse.Delete(e.id)
-}
--- a/internal/core/takeover.go
+++ b/internal/core/takeover.go
@@ -50,10 +50,8 @@
 			s.IDs = append(s.IDs, j.ID)
 		}
 	}
-	for id, mustNotRunTwice := range c.jobs.recentIDs {
-		if mustNotRunTwice {
-			s.IDs = append(s.IDs, id)
-		}
+	for _, recent := range c.jobs.recent.runOnce.all() {
+		s.IDs = append(s.IDs, recent.id)
 	}
 	return s
 }
--- a/internal/daemon/takeover.go
+++ b/internal/daemon/takeover.go
@@ -197,7 +197,9 @@
 // divideLimits limits this process to an equal part of the scheduler's file descriptors and memory.
 func (d *Daemon) divideLimits(processes int) {
 	d.platform.DivideDescriptors(processes)
+	memoryLimit := int64(d.Config.MemoryMB) << 20 / int64(processes)
+	d.platform.SetMemoryLimit(memoryLimit)
 	if d.options.LimitMemory != nil {
-		d.options.LimitMemory(int64(d.Config.MemoryMB) << 20 / int64(processes))
+		d.options.LimitMemory(memoryLimit)
 	}
 }
--- a/internal/lab/mutants.go
+++ b/internal/lab/mutants.go
@@ -99,15 +99,15 @@
 	{
 		Name:    "the id of an answered job is accepted again",
 		File:    "internal/core/record.go",
-		Old:     "\tc.rememberID(j.ID, c.settings.Module.Classes[j.class].Effect != foxlift.Idempotent)\n",
+		Old:     "\tc.rememberID(j.ID, c.unsafeToRetry(j))\n",
 		Package: "./internal/core",
 		Run:     modelFuzz,
 	},
 	{
 		Name:    "the id of an open job is accepted again",
 		File:    "internal/core/job_table.go",
-		Old:     "answered || t.open[id] != nil",
-		New:     "answered",
+		Old:     "t.recent.has(id) || t.open[id] != nil",
+		New:     "t.recent.has(id)",
 		Package: "./internal/core",
 		Run:     modelFuzz,
 	},
--- a/internal/platform/client_conn_test.go
+++ b/internal/platform/client_conn_test.go
@@ -82,6 +82,7 @@
 		"long chunks":      {chunked + "10001\r\n" + strings.Repeat("b", 65537) + "\r\n0\r\n\r\n", 413, "bad.body", false},
 		"no id":            {jobText(r, "j", m, "", "-"+headerID), 400, "bad.id", true},
 		"two ids":          {jobText(r, "j", m, "", headerID+": k"), 400, "bad.id", true},
+		"long id":          {jobText(r, strings.Repeat("j", maxIDBytes+1), m, ""), 400, "bad.id", true},
 		"id not ASCII":     {jobText(r, "j\xc3\xa4", m, ""), 400, "bad.id", true},
 		"two tenants":      {jobText(r, "j", m, "", headerTenant+": k"), 400, "bad.head", true},
 		"path in disguise": {strings.Replace(jobText(r, "j", m, ""), "/reading", "/%72eading", 1), 400, "bad.class", true},
--- a/internal/platform/job_request.go
+++ b/internal/platform/job_request.go
@@ -25,9 +25,9 @@
 
 // parseJob returns the job of a request that has been read completely. Its error is an *inputError.
 func parseJob(req *http.Request, body []byte) (*core.Job, error) {
-	if ids := req.Header[headerID]; len(ids) != 1 || !isVisibleASCII(ids[0]) {
+	if ids := req.Header[headerID]; len(ids) != 1 || !isVisibleASCII(ids[0]) || len(ids[0]) > maxIDBytes {
 		return nil, newInputError(http.StatusBadRequest, "id",
-			"%s must be there once, in printable characters", headerID)
+			"%s must be there once, in up to %d printable characters", headerID, maxIDBytes)
 	}
 	for _, name := range []string{headerClass, headerTenant, headerRemaining, headerLabels, headerRetry} {
 		if len(req.Header[name]) > 1 {
--- a/internal/platform/names.go
+++ b/internal/platform/names.go
@@ -49,6 +49,7 @@
 	maxBodyBytes     = 64 << 10
 	maxHeadBytes     = 16 << 10
 	maxKeyBytes      = 255                           // of an idempotency key
+	maxIDBytes       = 255                           // of a job's id
 	maxResponseBytes = maxHeadBytes + 2*maxBodyBytes // of a worker's complete answer, including its framing
 )
 
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -166,6 +166,9 @@
 	p.core.SetMaxOpen(maxOpenJobs(p.connsPerSide / processes))
 }
 
+// SetMemoryLimit sets the memory that this process may use, in bytes.
+func (p *Platform) SetMemoryLimit(bytes int64) { p.core.SetMemoryLimit(bytes) }
+
 // SteerConnections directs new connections and datagrams to this process instead of the predecessor that listens on the
 // same addresses.
 func (p *Platform) SteerConnections() {
