Requests take a quarter of the memory limit at most; what does not fit is shed early

At 32 MB and 1,024 descriptors 319 clients with 64 KiB bodies took the old tree to 74 MB in 5 s; connections that send a body but for its last byte took it to 36 MB.

Cause: connections and open jobs are bounded in number, nothing bounds the bytes that clients choose: the read buffer (32 KiB a connection), the body (io.ReadAll's growth leaves 72 KiB for 64 and five times that in garbage), a copy of the request for each attempt, and the body for as long as the job was known, not only until its answer.

Change: the module has a MemoryQuota, by which the platform reserves memory before a body is read and before a read buffer grows past 4 KiB: a quarter of the memory limit for all, and for one tenant at most twice what is free, so that a flood of one tenant leaves room for the others. Requests and buffers of up to 4 KiB need no reservation; connections are bounded. A request for which there is none has its body read and dropped, is checked like any other (400 for an unknown class or an id in use) and is shed with Retry-After (jobs.no_memory); its connection stays. A head for which there is none gets 503 (bad.no_memory), pipelined data is dropped as a flood is. Bodies are read into their exact size, long ones are written without a copy, and the core drops a job's payload with the answer. Two checks of TestLastByteHold call deliver with head and body apart; what they check is the same.

--- a/internal/core/admit.go
+++ b/internal/core/admit.go
@@ -6,9 +6,9 @@
 	"github.com/vatu-meals/foxlift"
 )
 
-// Stage 2, admit: a job is shed if too many jobs are open, if its id could not be kept after its answer, or if the
-// scheduler would shut down before the job is done. Otherwise it is assigned to a cell, whose dispatcher sends, queues
-// or sheds it.
+// Stage 2, admit: a job is shed if the platform has no memory for it, if too many jobs are open, if its id could not
+// be kept after its answer, or if the scheduler would shut down before the job is done. Otherwise it is assigned to a
+// cell, whose dispatcher sends, queues or sheds it.
 
 const defaultRetryAfter = time.Second // retry-after time of jobs that the core sheds, if the settings allow it
 
@@ -21,6 +21,11 @@
 // admit sheds the job or assigns it to a cell. If it sheds the job because of a shutdown, the retry-after time
 // is the longest that the settings allow.
 func (c *Core) admit(j *job) {
+	if j.NoMemory {
+		c.counters.Add("jobs.no_memory")
+		c.answer(j, Answer{Verdict: Shed, RetryAfter: c.shedRetryAfter()})
+		return
+	}
 	// Beyond maxOpen no file descriptor may be left for the job's connection to a worker, and the job would
 	// wait unread. It is shed before the dispatcher receives it.
 	if len(c.jobs.open) > c.maxOpen {
--- a/internal/core/job.go
+++ b/internal/core/job.go
@@ -17,7 +17,8 @@
 	Memory            float64       // units of memory that the job needs
 	ClientRetry       bool          // the client reports an earlier try
 	HasIdempotencyKey bool          // the job carries the key by which workers detect repeats
-	Payload           any           // data for Workers, not used by the core
+	NoMemory          bool          // the platform has no memory for the job, which is shed if it is valid
+	Payload           any           // data for Workers, not used by the core; nil once the job is answered
 	Client            Client
 
 	answered       atomic.Bool
--- a/internal/core/record.go
+++ b/internal/core/record.go
@@ -31,6 +31,7 @@
 		return
 	}
 	j.answered.Store(true)
+	j.Payload = nil // attempts in flight have their own reference
 	j.overdueTimer.stop()
 	delete(c.jobs.open, j.ID)
 	c.updateActive()
--- a/internal/platform/attempt.go
+++ b/internal/platform/attempt.go
@@ -14,6 +14,9 @@
 	"github.com/vatu-meals/foxlift/internal/guard"
 )
 
+// maxCopiedBody is the maximum size in bytes of a body that is written together with its head.
+const maxCopiedBody = 4 << 10
+
 // attempt sends a job to one worker once: it gets a connection, writes the request and reports the worker's answer.
 // It never sends the request again, not even after a stale connection: the decision module decides about retries.
 type attempt struct {
@@ -21,6 +24,7 @@
 	ctx            context.Context // done once the core withdraws the attempt
 	worker         string
 	job            *core.Job
+	payload        *payload  // of the job; nil once the request is written
 	clientDeadline time.Time // when the client stops waiting
 	writeDeadline  time.Time // the last byte of the request is not written after it; zero means no limit
 	report         func(core.Report)
@@ -132,13 +136,14 @@
 // exchange writes the request and reads the worker's answer. If an invariant forbids the first byte, it writes nothing
 // and returns NotSent. reusable reports whether the connection can be used for another request.
 func (a *attempt) exchange(conn *workerConn, target endpoint) (report core.Report, reusable bool) {
-	request, remaining := a.formatRequest()
+	head, body, remaining := a.formatRequest()
+	a.payload = nil
 	if !a.checkInvariants(remaining, false) {
 		return finalReport(foxlift.NotSent), true
 	}
 	proceed := func() bool { return a.stillValid(target) && a.checkInvariants(remaining, true) }
 	hold := a.pool.lastByteHold(conn, a.job.Class)
-	if err := conn.deliver(request, hold, a.writeDeadline, proceed); err != nil {
+	if err := conn.deliver(head, body, hold, a.writeDeadline, proceed); err != nil {
 		return finalReport(sendCode(err)), false
 	}
 	a.trace.writtenAt = time.Now()
@@ -196,20 +201,23 @@
 	return report, err == nil && !resp.Close && msg.Buffered() == 0
 }
 
-// formatRequest returns the HTTP request for the worker, and the remaining time until the client's deadline that
-// the request announces. The time is negative after the deadline; the request then announces 0.
-func (a *attempt) formatRequest() (text []byte, remaining time.Duration) {
-	jobPayload := a.job.Payload.(*payload)
-	request := fmt.Appendf(nil, "%s %s HTTP/1.1\r\nHost: %s\r\n", jobPayload.method, jobPayload.target, a.worker)
+// formatRequest returns the HTTP request for the worker, and the remaining time until the client's deadline that the
+// request announces. The time is negative after the deadline; the request then announces 0. A short body is part of
+// head, and body is empty; a long one is not copied.
+func (a *attempt) formatRequest() (head, body []byte, remaining time.Duration) {
+	request := fmt.Appendf(nil, "%s %s HTTP/1.1\r\nHost: %s\r\n", a.payload.method, a.payload.target, a.worker)
 	for _, name := range forwardedHeaders {
-		if v := jobPayload.header.Get(name); v != "" {
+		if v := a.payload.header.Get(name); v != "" {
 			request = fmt.Appendf(request, "%s: %s\r\n", name, v)
 		}
 	}
 	remaining = time.Until(a.clientDeadline)
 	request = fmt.Appendf(request, "%s: %s\r\nContent-Length: %d\r\n\r\n",
-		headerRemaining, formatRemaining(remaining), len(jobPayload.body))
-	return append(request, jobPayload.body...), remaining
+		headerRemaining, formatRemaining(remaining), len(a.payload.body))
+	if len(a.payload.body) > maxCopiedBody {
+		return request, a.payload.body, remaining
+	}
+	return append(request, a.payload.body...), nil, remaining
 }
 
 // codeForStatus returns the code for an answer whose status is not 200: Saturated for a 503 or 504 with the protocol's
--- a/internal/platform/attempt_test.go
+++ b/internal/platform/attempt_test.go
@@ -179,15 +179,15 @@
 	}
 	c.idleSince = time.Now()
 	permitted := func() bool { return true }
-	check(t, "error of deliver", c.deliver([]byte("some bytes"), 0, time.Time{}, permitted), nil)
+	check(t, "error of deliver", c.deliver([]byte("some "), []byte("bytes"), 0, time.Time{}, permitted), nil)
 	check(t, "code of deliver after the write deadline",
-		sendCode(c.deliver([]byte("more"), 0, time.Now(), permitted)), foxlift.NotSent)
+		sendCode(c.deliver([]byte("more"), nil, 0, time.Now(), permitted)), foxlift.NotSent)
 	got := make([]byte, 20)
 	length, _ := io.ReadAtLeast(workerSide, got, len("some bytesmor"))
 	check(t, "bytes at the worker", string(got[:length]), "some bytesmor")
 	workerSide.Close()
 	await(t, "the close by the worker has arrived", func() bool { return !c.buf.fillAvailable() })
-	err = c.deliver([]byte("some bytes"), 0, time.Time{}, permitted)
+	err = c.deliver([]byte("some "), []byte("bytes"), 0, time.Time{}, permitted)
 	check(t, "code of deliver after the worker's close", sendCode(err), foxlift.NotSent)
 }
 
--- a/internal/platform/buffer.go
+++ b/internal/platform/buffer.go
@@ -14,6 +14,10 @@
 	conn net.Conn
 	data []byte
 	r, w int // data[r:w] has been read from the connection and not yet consumed
+
+	// reserveSize is called with the new size in bytes before the buffer grows and after its memory was released; it
+	// returns whether the buffer may have that size. nil means any size.
+	reserveSize func(size int) bool
 }
 
 const (
@@ -27,16 +31,38 @@
 // discard drops all buffered bytes.
 func (b *readBuffer) discard() { b.r, b.w = 0, 0 }
 
-// reserve makes free space after the buffered bytes: it moves them to the start and doubles a full buffer.
-func (b *readBuffer) reserve() {
+// reserve makes free space after the buffered bytes: it moves them to the start and doubles a full buffer. It returns
+// errNoMemory if the buffer is full and may not grow.
+func (b *readBuffer) reserve() error {
 	if b.r > 0 {
 		b.w = copy(b.data, b.data[b.r:b.w])
 		b.r = 0
 	}
-	if b.w == len(b.data) {
-		larger := make([]byte, max(initialBufferSize, 2*len(b.data)))
-		copy(larger, b.data[:b.w])
-		b.data = larger
+	if b.w < len(b.data) {
+		return nil
+	}
+	size := max(initialBufferSize, 2*len(b.data))
+	if b.reserveSize != nil && !b.reserveSize(size) {
+		return errNoMemory
+	}
+	larger := make([]byte, size)
+	copy(larger, b.data[:b.w])
+	b.data = larger
+	return nil
+}
+
+// trim releases the memory of an empty buffer that is larger than its connection may retain.
+func (b *readBuffer) trim() {
+	retained := maxRetainedBufferSize
+	if b.reserveSize != nil {
+		retained = unreservedBytes
+	}
+	if b.buffered() > 0 || len(b.data) <= retained {
+		return
+	}
+	b.data, b.r, b.w = nil, 0, 0
+	if b.reserveSize != nil {
+		b.reserveSize(0)
 	}
 }
 
@@ -44,7 +70,9 @@
 // deadline expired are still read: the process may not have been scheduled in time.
 func (b *readBuffer) fill() error {
 	if b.w == len(b.data) {
-		b.reserve()
+		if err := b.reserve(); err != nil {
+			return err
+		}
 	}
 	before := b.buffered()
 	n, err := b.conn.Read(b.data[b.w:])
@@ -63,7 +91,7 @@
 
 // fillAvailable reads bytes that have already arrived, without waiting. It returns false if the other side has
 // closed the connection or the read failed. It reads nothing and returns true if the connection has no descriptor, as
-// in some tests.
+// in some tests, or the buffer is full and may not grow.
 func (b *readBuffer) fillAvailable() bool {
 	sc, ok := b.conn.(syscall.Conn)
 	if !ok {
@@ -73,8 +101,8 @@
 	if err != nil {
 		return false
 	}
-	if b.w == len(b.data) {
-		b.reserve()
+	if b.w == len(b.data) && b.reserve() != nil {
+		return true // the connection may be open; nothing can be read
 	}
 	open := true
 	err = raw.Control(func(fd uintptr) {
--- a/internal/platform/client_conn.go
+++ b/internal/platform/client_conn.go
@@ -39,6 +39,9 @@
 	answeredAt    time.Time   // when the last answer was written
 	answerPending bool        // a job was accepted and its answer has not been written
 
+	bufferMemory memoryReservation // of buf
+	jobMemory    memoryReservation // of the request that is read or served
+
 	// Guarded by server.mu.
 	idle        bool          // waiting for the first byte of the next request
 	idleElement *list.Element // in server.idle, valid while idle
@@ -65,9 +68,16 @@
 // if serve has not read that yet.
 func (p *pendingAnswer) Disconnected() bool { return peerClosed(p.conn.conn) }
 
+// reserveBuffer reserves memory for a size of the read buffer, and returns whether it is available.
+func (c *clientConn) reserveBuffer(size int) bool {
+	return c.bufferMemory.resize(c.server.memory, "", int64(size))
+}
+
 // serve handles requests until the connection ends, and closes it.
 func (c *clientConn) serve() {
+	defer c.bufferMemory.release()
 	for c.awaitRequest() && c.exchange() {
+		c.buf.trim()
 	}
 	c.close()
 }
@@ -147,38 +157,42 @@
 
 // exchange reads one request and answers it. It returns whether the connection stays open.
 func (c *clientConn) exchange() bool {
+	defer c.jobMemory.release()
 	req, body, err := c.readRequest()
 	var inputErr *inputError
+	bodyDropped := errors.Is(err, errBodyDropped)
 	switch {
 	case errors.As(err, &inputErr):
 		// The end of an invalid request is unknown, so the connection cannot be used for another one.
 		return c.writeReply(c.rejectInput(inputErr), true)
-	case err != nil:
+	case err != nil && !bodyDropped:
 		return false // the connection ended within a request, which was not accepted
 	}
+	closeAfter := req.Close
 	switch {
 	case req.URL.Path == pathHealth:
 		c.server.recordRequest(c)
-		return c.writeReply(c.healthReply(req.Method), req.Close)
+		return c.writeReply(c.healthReply(req.Method), closeAfter)
 	case req.Method != http.MethodPost:
 		inputErr = newInputError(http.StatusMethodNotAllowed, "method", "jobs come by POST")
-		return c.writeReply(c.rejectInput(inputErr), req.Close)
+		return c.writeReply(c.rejectInput(inputErr), closeAfter)
 	}
 	job, err := parseJob(req, body)
 	if errors.As(err, &inputErr) {
-		return c.writeReply(c.rejectInput(inputErr), req.Close)
+		return c.writeReply(c.rejectInput(inputErr), closeAfter)
 	}
+	job.NoMemory = bodyDropped
 	c.server.recordRequest(c)
 	overCellLimit := !c.server.assignCell(c, job)
 	c.answerPending = true
 	answer, mustClose := c.runJob(job)
-	return c.writeReply(c.formatAnswer(answer), req.Close || mustClose || overCellLimit)
+	return c.writeReply(c.formatAnswer(answer), closeAfter || mustClose || overCellLimit)
 }
 
 // runJob passes a job to the core and waits for its answer. mustClose reports that the connection must be closed after
 // the answer: the client has disconnected, or has sent too much data meanwhile.
 func (c *clientConn) runJob(job *core.Job) (answer core.Answer, mustClose bool) {
-	disconnected, flooded := false, false
+	disconnected, flooded, noMemory := false, false, false
 	pending := &pendingAnswer{c, make(chan core.Answer, 1)}
 	job.Client, job.ArrivedAt = pending, c.server.clock.Now()
 	c.server.core.Accept(job)
@@ -194,9 +208,10 @@
 		if disconnected {
 			return <-pending.answer, true
 		}
-		if c.buf.buffered() >= maxHeadBytes {
-			// A client that sends more than a request head while its job is in flight floods the connection. The
-			// data is dropped. Reading goes on, slowly, because a disconnect can only be detected after the data.
+		if c.buf.buffered() >= maxHeadBytes || noMemory {
+			// A client that sends more than a request head, or more than there is memory for, while its job is in
+			// flight floods the connection. The data is dropped. Reading goes on, slowly, because a disconnect can only
+			// be detected after the data.
 			flooded = true
 			c.buf.discard()
 			select {
@@ -205,7 +220,9 @@
 			case <-time.After(floodBackoff):
 			}
 		}
-		if err := c.buf.fill(); err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
+		err := c.buf.fill()
+		noMemory = errors.Is(err, errNoMemory)
+		if err != nil && !noMemory && !errors.Is(err, os.ErrDeadlineExceeded) {
 			disconnected = true
 			job.MarkDisconnected()
 			c.server.core.ClientDisconnected(job)
--- a/internal/platform/client_server.go
+++ b/internal/platform/client_server.go
@@ -29,6 +29,7 @@
 	counters         *counters.Set
 	log              *zap.Logger
 	listener         listener
+	memory           *requestMemory
 	budget           int                   // maximum number of client connections; guarded by mu
 	lateRequestGrace time.Duration         // wait for a request sent before the client detects an idle close
 	unready          atomic.Bool           // health checks are answered with 503
@@ -54,6 +55,7 @@
 		counters:         counterSet,
 		log:              log,
 		listener:         clientListener,
+		memory:           newRequestMemory(),
 		budget:           budget,
 		lateRequestGrace: defaultLateRequestGrace,
 		acceptDone:       make(chan struct{}),
@@ -116,7 +118,8 @@
 
 // serveConn starts serving a connection in a new goroutine.
 func (s *clientServer) serveConn(conn net.Conn) {
-	c := &clientConn{server: s, conn: conn, buf: readBuffer{conn: conn}, openedAt: time.Now()}
+	c := &clientConn{server: s, conn: conn, openedAt: time.Now()}
+	c.buf = readBuffer{conn: conn, reserveSize: c.reserveBuffer}
 	c.retired.Store(s.closeIdle.Load())
 	s.mu.Lock()
 	s.conns[c] = struct{}{}
--- a/internal/platform/message.go
+++ b/internal/platform/message.go
@@ -85,13 +85,10 @@
 	m.buf.r, m.read, m.limit = m.buf.r+n, m.read-n, m.limit-n
 }
 
-// close ends the reading and removes from the buffer the bytes that the parser has consumed. If the buffer is then
-// empty and larger than maxRetainedBufferSize, its memory is released.
+// close ends the reading, removes from the buffer the bytes that the parser has consumed, and trims the buffer.
 func (m *message) close() {
 	m.releaseConsumed()
-	if m.buf.buffered() == 0 && len(m.buf.data) > maxRetainedBufferSize {
-		m.buf.data, m.buf.r, m.buf.w = nil, 0, 0
-	}
+	m.buf.trim()
 	m.Reset(nil)
 	readerPool.Put(m.Reader)
 }
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -166,8 +166,11 @@
 	p.core.SetMaxOpen(maxOpenJobs(p.connsPerSide / processes))
 }
 
-// SetMemoryLimit sets the memory that this process may use, in bytes.
-func (p *Platform) SetMemoryLimit(bytes int64) { p.core.SetMemoryLimit(bytes) }
+// SetMemoryLimit sets the memory that this process may use, in bytes, and with it the memory for clients' requests.
+func (p *Platform) SetMemoryLimit(bytes int64) {
+	p.clients.memory.setProcessLimit(bytes)
+	p.core.SetMemoryLimit(bytes)
+}
 
 // SteerConnections directs new connections and datagrams to this process instead of the predecessor that listens on the
 // same addresses.
--- a/internal/platform/worker_pool.go
+++ b/internal/platform/worker_pool.go
@@ -265,6 +265,7 @@
 		ctx:            ctx,
 		worker:         worker,
 		job:            job,
+		payload:        job.Payload.(*payload),
 		clientDeadline: now.Add(limits.Remaining),
 		report:         report,
 	}
