Long answers of workers are read as many at a time as there is memory for

The number of attempts is bounded, not the bytes of their answers: the read buffer held the whole answer until its end (up to 256 KiB), the line up to 144 KiB beside it, and the parsed result twice more. A head could have 144 KiB. Health checks read up to 144 KiB of a load report.

Seen: no case over a limit.

Change: what the parser has consumed leaves the read buffer at once; a head has 16 KiB at most, as a client's; lines up to 2 KiB take the attempt's own buffer, and a longer one waits for one of as many places as 1/16 of the memory limit has (256 KiB each). Until then the rest of the answer stays with the kernel and the worker. A load report of a health check has 16 KiB at most with its head.

--- a/internal/platform/attempt.go
+++ b/internal/platform/attempt.go
@@ -179,12 +179,14 @@
 // receiveAnswer reads the worker's answer. It returns the final report of the attempt, and whether the connection
 // can be used for another request. The code is Reset if the answer ends early or cannot be parsed.
 func (a *attempt) receiveAnswer(conn *workerConn) (report core.Report, reusable bool) {
-	msg := conn.buf.newMessage(maxResponseBytes)
+	msg := conn.buf.newMessage(maxHeadBytes)
+	msg.releaseEarly = true
 	defer msg.close()
 	resp, err := msg.readResponse()
 	if err != nil {
 		return finalReport(foxlift.Reset), false
 	}
+	msg.limit += maxResponseBytes - maxHeadBytes
 	a.trace.answeredAt = time.Now()
 	a.setAwaitingConn(nil)
 	load, hasLoad := a.pool.loadParser.parseHeader(resp.Header[headerLoad])
--- a/internal/platform/health_check.go
+++ b/internal/platform/health_check.go
@@ -52,7 +52,8 @@
 	if _, err := fmt.Fprintf(conn, "GET %s HTTP/1.1\r\nHost: %s\r\n\r\n", path, worker); err != nil {
 		return finalReport(foxlift.Unreachable), false
 	}
-	m := conn.buf.newMessage(maxResponseBytes)
+	m := conn.buf.newMessage(maxHeadBytes) // a load report is short
+	m.releaseEarly = true
 	defer m.close()
 	resp, err := m.readResponse()
 	if err != nil {
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -81,7 +81,8 @@
 	}
 	connsPerSide := (cfg.MaxDescriptors - max(minSpareDescriptors, cfg.MaxDescriptors/spareDescriptorsDivisor) -
 		AdminConnections(cfg)) / 2
-	pool := newWorkerPool(endpoints, cfg.Settings, counterSet, log, connsPerSide)
+	memoryLimit := int64(cfg.MemoryMB) << 20
+	pool := newWorkerPool(endpoints, cfg.Settings, counterSet, log, connsPerSide, memoryLimit)
 	endpoints.table.onWorkerState = pool.inFlight.scheduleAborts
 	p := &Platform{
 		clients:       newClientServer(jobCore, clock, counterSet, log, nil, connsPerSide),
--- a/internal/platform/state_lines.go
+++ b/internal/platform/state_lines.go
@@ -1,7 +1,6 @@
 package platform
 
 import (
-	"bufio"
 	"bytes"
 	"encoding/json"
 	"errors"
@@ -98,11 +97,15 @@
 // and returns the final report. If the body is incomplete or a line is invalid, the final state does not count and the
 // outcome is foxlift.Reset. An error means that the connection cannot be reused.
 func (a *attempt) readStates(body io.Reader) (core.Report, error) {
-	lines := bufio.NewScanner(body)
-	lines.Buffer(nil, maxResponseBytes)
+	lines := newLineReader(body, func() error { return a.pool.acquireLongAnswer(a.ctx) })
+	defer func() {
+		if lines.isLong() {
+			a.pool.releaseLongAnswer()
+		}
+	}()
 	var final *core.Report
-	for lines.Scan() {
-		line := bytes.TrimSpace(lines.Bytes())
+	for lines.next() {
+		line := bytes.TrimSpace(lines.line)
 		if len(line) == 0 {
 			continue
 		}
@@ -129,8 +132,8 @@
 			a.report(core.Report{Progress: true})
 		} // unknown states, from a later protocol version, are ignored
 	}
-	if err := lines.Err(); err != nil {
-		return finalReport(foxlift.Reset), err
+	if lines.err != nil {
+		return finalReport(foxlift.Reset), lines.err
 	}
 	if final == nil {
 		return finalReport(foxlift.Reset), io.ErrUnexpectedEOF
--- a/internal/platform/worker_pool.go
+++ b/internal/platform/worker_pool.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"go.uber.org/zap"
+	"golang.org/x/sync/semaphore"
 
 	"github.com/vatu-meals/foxlift"
 	"github.com/vatu-meals/foxlift/internal/config"
@@ -42,6 +43,7 @@
 
 	repeatable map[string]bool // by class name: whether jobs of the class may run twice
 
+	longAnswers        *semaphore.Weighted // memory for long answers; nil in some tests: no limit
 	inFlight           inFlightAttempts
 	answersBeforeStart atomic.Bool // a worker has answered before it started the job
 
@@ -51,10 +53,11 @@
 	idle   map[string][]*workerConn // by address, the most recently used last
 }
 
-// newWorkerPool returns a pool that has at most budget connections open. A timeout that is 0 in the settings has its
+// newWorkerPool returns a pool that has at most budget connections open, in a scheduler that may use memoryLimit bytes
+// of memory. A timeout that is 0 in the settings has its
 // default.
 func newWorkerPool(
-	endpoints *endpointWatch, s *config.Settings, set *counters.Set, log *zap.Logger, budget int,
+	endpoints *endpointWatch, s *config.Settings, set *counters.Set, log *zap.Logger, budget int, memoryLimit int64,
 ) *workerPool {
 	p := &workerPool{
 		findLive:    endpoints.findLive,
@@ -66,6 +69,7 @@
 		idleTimeout: defaultIdleTimeout,
 		loadParser:  loadParser{s.GaugeNames, set},
 		repeatable:  map[string]bool{},
+		longAnswers: semaphore.NewWeighted(maxLongAnswers(memoryLimit)),
 		budget:      budget,
 		idle:        map[string][]*workerConn{},
 	}
