--- a/internal/lab/fleet/configuration.go
+++ b/internal/lab/fleet/configuration.go
@@ -75,7 +75,7 @@
 		"listen":    p.Addr,
 		"discovery": f.Links[i].Addr().String(),
 		"seed":      fmt.Sprintf("%x", 1000+i),
-		"limits":    map[string]any{"memory_mb": 192, "sockets": f.Sockets},
+		"limits":    map[string]any{"memory_mb": f.MemoryMB, "sockets": f.Sockets},
 		"known":     json.RawMessage(cachedEndpoints),
 		"settings":  f.Settings(i),
 	}
--- a/internal/lab/rig.go
+++ b/internal/lab/rig.go
@@ -94,7 +94,7 @@
 		"listen":    "127.0.0.1:0",
 		"discovery": r.Discovery.Addr().String(),
 		"seed":      fmt.Sprintf("%x", 1000+scheduler),
-		"limits":    map[string]any{"memory_mb": 192, "sockets": r.Sockets},
+		"limits":    map[string]any{"memory_mb": r.MemoryMB, "sockets": r.Sockets},
 		"known":     json.RawMessage(r.Discovery.ListJSON()),
 		"settings":  r.Settings(scheduler),
 	}, "", " ")
--- a/internal/lab/topology.go
+++ b/internal/lab/topology.go
@@ -45,6 +45,7 @@
 	Tenants     []Tenant
 	Classes     []Class
 	Sockets     int           // file descriptors that a scheduler may use
+	MemoryMB    int           // memory in MiB that a scheduler may use; 0: the most that it accepts
 	DedupGroups int           // deduplication groups that the workers are assigned to in turn; 0: no deduplication
 	DedupWindow time.Duration // for which a group drops repeats of an idempotency key of a deduplicated class
 	LoadReports bool          // workers send load reports
