A crowd in the backlog at the shutdown is accepted within the descriptors

Each connection takes memory too.

Change: the backlog is accepted within the budget and eight descriptors more, which the worker side gives up for it. Connections without a byte make way at once, since a request that was sent has arrived by then, those with half a request after 50 ms, connections that are idle after an answer as before. Idle connections are closed in time also while the crowd is still being accepted.

--- a/internal/platform/client_capacity.go
+++ b/internal/platform/client_capacity.go
@@ -22,26 +22,40 @@
 func maxOpenJobs(budget int) int { return budget - max(1, budget/spareConnsDivisor) }
 
 // awaitCapacity waits until the budget allows another connection. It starts to close idle connections before the
-// budget is used up. During shutdown it does not wait and returns true: only the connections that the kernel has
-// already accepted remain to be accepted. It then sets the accept deadline to backlogTimeout from now.
+// budget is used up. During shutdown, when only the connections that the kernel has already accepted remain to be
+// accepted, it allows shutdownReserve more, sets the accept deadline to backlogTimeout from now and returns true.
 func (s *clientServer) awaitCapacity() (stopping bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for !s.stopAccepting.Load() {
-		s.freeCapacityLocked(len(s.conns) + 1 + s.budget/headroomDivisor - s.budget)
-		if len(s.conns) < s.budget {
+	for {
+		stopping = s.stopAccepting.Load()
+		limit := s.budget
+		if stopping {
+			limit += shutdownReserve
+		}
+		s.freeCapacityLocked(len(s.conns) + 1 + s.budget/headroomDivisor - limit)
+		if len(s.conns) < limit {
 			break
 		}
 		recheck := time.AfterFunc(firstByteGrace, s.capacityChanged.Broadcast) // connections may have passed their grace
 		s.capacityChanged.Wait()
 		recheck.Stop()
 	}
-	if stopping = s.stopAccepting.Load(); stopping {
+	if stopping {
 		_ = s.listener.SetDeadline(time.Now().Add(backlogTimeout)) // fails on a closed listener, as Accept does
 	}
 	return stopping
 }
 
+// graces returns how long connections without a byte, and with an incomplete first request, are not closed to free
+// capacity. In the backlog at a shutdown, a request that was sent has arrived.
+func (s *clientServer) graces() (firstByte, firstRequest time.Duration) {
+	if s.stopAccepting.Load() {
+		return 0, shutdownRequestGrace
+	}
+	return firstByteGrace, firstRequestGrace
+}
+
 // freeOneConn frees capacity for at least one connection, if there are connections that may be closed.
 func (s *clientServer) freeOneConn() {
 	s.mu.Lock()
@@ -53,8 +67,8 @@
 // is 0 or less. It marks connections to be closed and does not wait. Connections that are about to end already count.
 // Connections are closed in this order:
 //
-//  1. idle connections without a request after firstByteGrace,
-//  2. connections whose first request is incomplete after firstRequestGrace,
+//  1. idle connections without a request after the grace for the first byte,
+//  2. connections whose first request is incomplete after the grace for the first request,
 //  3. idle connections that sent a single request,
 //  4. idle connections that sent more requests, the longest idle first.
 //
@@ -66,6 +80,7 @@
 		return
 	}
 	target += s.budget
+	firstByte, firstRequest := s.graces()
 	closeIf := func(c *clientConn, eligible bool) {
 		if eligible && target > 0 {
 			target--
@@ -73,10 +88,10 @@
 		}
 	}
 	for c := range s.idleConns() {
-		closeIf(c, c.requests == 0 && time.Since(c.openedAt) > firstByteGrace)
+		closeIf(c, c.requests == 0 && time.Since(c.openedAt) > firstByte)
 	}
 	for c := range s.conns {
-		if c.requests == 0 && !c.idle && time.Since(c.openedAt) > firstRequestGrace {
+		if c.requests == 0 && !c.idle && time.Since(c.openedAt) > firstRequest {
 			closeIf(c, true)
 			c.conn.SetReadDeadline(pastDeadline)
 		}
--- a/internal/platform/client_server.go
+++ b/internal/platform/client_server.go
@@ -21,8 +21,8 @@
 	SetDeadline(time.Time) error
 }
 
-// A clientServer accepts and serves client connections, at most budget at a time. During shutdown it accepts the whole
-// backlog, even beyond the budget.
+// A clientServer accepts and serves client connections, at most budget at a time, and shutdownReserve more while it
+// accepts the backlog during shutdown.
 type clientServer struct {
 	core             *core.Core
 	clock            core.Clock
@@ -85,6 +85,8 @@
 	defaultLateRequestGrace = 100 * time.Millisecond
 	firstByteGrace          = 50 * time.Millisecond  // a well-behaved client has begun its first request by then
 	firstRequestGrace       = 250 * time.Millisecond // and has sent it completely by then
+	shutdownReserve         = 8                      // connections beyond the budget while the backlog is accepted
+	shutdownRequestGrace    = 50 * time.Millisecond  // firstRequestGrace while the backlog is accepted
 	closeBatchDivisor       = 8                      // 1/8 of the budget is closed at a time
 	minAcceptBackoff        = 5 * time.Millisecond   // after a failed accept; doubled for each further failure
 	maxAcceptBackoff        = 500 * time.Millisecond
--- a/internal/platform/shutdown.go
+++ b/internal/platform/shutdown.go
@@ -17,18 +17,30 @@
 	s.capacityChanged.Broadcast()
 	_ = s.listener.SetDeadline(pastDeadline) // fails on a closed listener, as Accept does
 	s.mu.Unlock()
-	<-s.acceptDone // connections that the kernel has accepted are served too
+	select {
+	case <-s.acceptDone: // connections that the kernel has accepted are served too
+		s.listener.Close()
+		<-closeIdleTimer
+	case <-closeIdleTimer: // a crowd is still being accepted
+	}
+	s.retireAll()
+	<-s.acceptDone
 	s.listener.Close()
-	<-closeIdleTimer
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for len(s.conns) > 0 {
+		s.capacityChanged.Wait()
+	}
+}
+
+// retireAll marks all connections, also those that are accepted later, to be closed as soon as they are idle.
+func (s *clientServer) retireAll() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.closeIdle.Store(true)
 	for c := range s.conns {
 		s.retireLocked(c)
 	}
-	for len(s.conns) > 0 {
-		s.capacityChanged.Wait()
-	}
 }
 
 // backlogTimeout is the accept deadline while the backlog is emptied before the listener is closed.
@@ -69,6 +81,7 @@
 	beginTimer := time.AfterFunc(acceptAfterShutdown, func() { p.core.BeginShutdown(answerBy - acceptAfterShutdown) })
 	defer beginTimer.Stop()
 	p.clients.unready.Store(true)
+	p.pool.shrinkBudget(shutdownReserve)
 	p.clients.shutDown(acceptAfterShutdown, closeIdleAfter)
 	p.core.Stop()
 	p.closeOutbound()
@@ -85,6 +98,7 @@
 		p.peers.stop() // peers get messages from the successor and could not tell the two processes apart
 	}
 	p.clients.yieldConns(true)
+	p.pool.shrinkBudget(shutdownReserve)
 	p.clients.shutDown(takeoverAcceptTime, takeoverIdleGrace)
 	p.core.Stop()
 	p.closeOutbound()
--- a/internal/platform/shutdown_test.go
+++ b/internal/platform/shutdown_test.go
@@ -200,3 +200,44 @@
 		}
 	}
 }
+
+// Guards against a crowd in the backlog at the shutdown that takes more descriptors and memory than the scheduler may
+// use. The connections without a request make way, and the requests behind them are answered.
+func TestCrowdInBacklogAtShutdown(t *testing.T) {
+	const crowd, requests, budget = 300, 5, 20
+	p, _ := start(t, "", newTestWorker(t, serveJob))
+	server := newClientServer(p.core, core.NewClock(), &counters.Set{}, zap.NewNop(), listen(t).(*net.TCPListener), budget)
+	platform := &Platform{clients: server}
+	for range crowd {
+		connect(t, platform)
+	}
+	var waiting []*testClient
+	for i := range requests {
+		s := connect(t, platform)
+		s.send(t, jobText("reading", fmt.Sprint("w", i), "9000m", ""))
+		waiting = append(waiting, s)
+	}
+	server.stopAccepting.Store(true) // before the first accept: all connections are in the backlog
+	go server.accept()
+	ended := make(chan bool)
+	go func() { server.shutDown(0, 500*time.Millisecond); close(ended) }()
+	most := 0
+	await(t, "shutdown has ended", func() bool {
+		server.mu.Lock()
+		defer server.mu.Unlock()
+		most = max(most, len(server.conns))
+		select {
+		case <-ended:
+			return true
+		default:
+			return false
+		}
+	})
+	if most > budget+shutdownReserve {
+		t.Errorf("%d connections are open at a time, want at most %d", most, budget+shutdownReserve)
+	}
+	for _, s := range waiting {
+		r, _ := s.answer(t)
+		check(t, "status", r.StatusCode, 200)
+	}
+}
--- a/internal/platform/worker_pool.go
+++ b/internal/platform/worker_pool.go
@@ -193,6 +193,14 @@
 	p.shrinkLocked(budget)
 }
 
+// shrinkBudget lowers the maximum number of open connections.
+func (p *workerPool) shrinkBudget(by int) {
+	p.mu.Lock()
+	budget := p.budget
+	p.mu.Unlock()
+	p.setBudget(budget - by)
+}
+
 // acquire returns an idle connection to a worker, or dials one. The error is a *sendError. A lack of file descriptors
 // is reported as NotSent, since it is not a fault of the worker; any other failure, also the end of ctx, is reported as
 // Unreachable. Both are counted.
