Removed workers leave the endpoint table after a minute

The platform's table kept an entry for each worker that any change had ever named, until a complete list came, which a watch that goes on never asks for. The core and the module delete theirs (workerTable.prune, deleteRemoved after 60 s). Found by reading; no scheduler was seen to grow over a limit.

Change: endpointTable.apply deletes entries of workers removed a minute ago or more, in a pass that is due whenever the number of entries has doubled, 256 at least.

--- a/internal/platform/endpoint_table.go
+++ b/internal/platform/endpoint_table.go
@@ -1,6 +1,7 @@
 package platform
 
 import (
+	"maps"
 	"time"
 	"unique"
 
@@ -18,8 +19,15 @@
 
 	entries map[string]endpoint
 	version int64 // version of the last applied response; 0 before the first
+	pruneAt int   // number of entries at which removed workers are deleted
 }
 
+// Limits of the entries of removed workers.
+const (
+	removedRetention = time.Minute // attempts at a removed worker have ended by then
+	minPruneEntries  = 256         // fewer entries are not worth a pass over all of them
+)
+
 // newEndpointTable returns an empty table on the clocks of this process, whose onWorkerState does nothing.
 func newEndpointTable(s *config.Settings) endpointTable {
 	return endpointTable{
@@ -28,6 +36,7 @@
 		coreNow:       core.NewClock().Now,
 		onWorkerState: func(string, foxlift.WorkerState) {},
 		entries:       map[string]endpoint{},
+		pruneAt:       minPruneEntries,
 	}
 }
 
@@ -72,9 +81,21 @@
 			StartedAt: start.coreTime,
 		})
 	}
+	if len(t.entries) >= t.pruneAt {
+		t.pruneRemoved()
+	}
 	return workers
 }
 
+// pruneRemoved deletes the entries of workers that were removed before removedRetention. The next pass is due when the
+// number of entries has doubled, so that its cost for each change does not depend on the size of the list.
+func (t *endpointTable) pruneRemoved() {
+	maps.DeleteFunc(t.entries, func(_ string, e endpoint) bool {
+		return e.state == foxlift.Removed && time.Since(e.unavailableSince) >= removedRetention
+	})
+	t.pruneAt = max(minPruneEntries, 2*len(t.entries))
+}
+
 // reportRemoved calls onWorkerState for the workers that were in the previous table and are not in this one.
 func (t *endpointTable) reportRemoved(previous map[string]endpoint) {
 	for worker := range previous {
