Changes of the endpoint list may not add up to more workers than there is memory for

Found by reading.

Change: endpointWatch.applyResponse rejects changes with which the table would hold more entries than a complete list may have; the next call then asks for the complete list, as after any list over the bound.

Result: TestChangesBeyondTheBoundAreRejected is new and does not compile before.

--- a/internal/core/recent_ids_test.go
+++ b/internal/core/recent_ids_test.go
@@ -40,8 +40,8 @@
 	}
 }
 
-// Guards against an at-most-once job whose id cannot be kept: a repeat of it would run again. It is shed, and other jobs
-// are served. Ids of jobs that never ran do not use up the memory.
+// Guards against an at-most-once job whose id cannot be kept: a repeat of it would run again. It is shed, and other
+// jobs are served. Ids of jobs that never ran do not use up the memory.
 func TestNoMemoryForIDsOfAtMostOnceJobs(t *testing.T) {
 	r := newRig(t)
 	r.jobs.recent.maxBytes = 2 * recentID{id: "j0"}.size()
--- a/internal/platform/endpoint_table.go
+++ b/internal/platform/endpoint_table.go
@@ -87,6 +87,27 @@
 	return workers
 }
 
+// checkGrowth returns an oversizedError if the table would have more than maxEntries entries with a response applied.
+// Each response is bounded, but many changes could add up to any number.
+func (t *endpointTable) checkGrowth(response *endpointsResponse, maxEntries int64) error {
+	if response.Complete {
+		return nil
+	}
+	added := int64(0)
+	for i := range response.Endpoints {
+		if _, known := t.entries[response.Endpoints[i].ID]; !known {
+			added++
+		}
+	}
+	if added > 0 && int64(len(t.entries))+added > maxEntries {
+		t.pruneRemoved()
+	}
+	if added > 0 && int64(len(t.entries))+added > maxEntries {
+		return oversizedError{"entries", maxEntries}
+	}
+	return nil
+}
+
 // pruneRemoved deletes the entries of workers that were removed before removedRetention. The next pass is due when the
 // number of entries has doubled, so that its cost for each change does not depend on the size of the list.
 func (t *endpointTable) pruneRemoved() {
--- a/internal/platform/endpoint_table_test.go
+++ b/internal/platform/endpoint_table_test.go
@@ -1,6 +1,7 @@
 package platform
 
 import (
+	"errors"
 	"fmt"
 	"testing"
 	"testing/synctest"
@@ -36,3 +37,38 @@
 		}
 	})
 }
+
+// Guards against changes that add up to more workers than there is memory for, although each response is bounded.
+func TestChangesBeyondTheBoundAreRejected(t *testing.T) {
+	const maxEntries = 10
+	table := newEndpointTable(&config.Settings{})
+	changes := func(first, count int, health string) *endpointsResponse {
+		version := int64(1)
+		response := &endpointsResponse{Version: &version}
+		for i := range count {
+			response.Endpoints = append(response.Endpoints,
+				endpointEntry{ID: fmt.Sprint("w", first+i), Address: "h:1", Health: health})
+		}
+		return response
+	}
+	complete := changes(0, 2*maxEntries, healthActive)
+	complete.Complete = true
+	for _, c := range []struct {
+		what     string
+		response *endpointsResponse
+		rejected bool
+	}{
+		{"as many as allowed", changes(0, maxEntries, healthActive), false},
+		{"one more", changes(maxEntries, 1, healthActive), true},
+		{"known workers", changes(0, maxEntries, healthLeaving), false},
+		{"a complete list, which is bounded itself", complete, false},
+	} {
+		err := table.checkGrowth(c.response, maxEntries)
+		if rejected := errors.As(err, &oversizedError{}); rejected != c.rejected {
+			t.Errorf("%s: checkGrowth() returned %v, want an oversizedError: %t", c.what, err, c.rejected)
+		}
+		if err == nil && !c.response.Complete {
+			table.apply(c.response)
+		}
+	}
+}
--- a/internal/platform/endpoint_watch.go
+++ b/internal/platform/endpoint_watch.go
@@ -251,7 +251,8 @@
 }
 
 // applyResponse applies the response to a call and returns its workers. It fails if ctx, the session's context, is
-// done: a late response of an old discovery must not replace the list of the new one.
+// done: a late response of an old discovery must not replace the list of the new one. It fails with an oversizedError
+// if the table would have too many entries.
 func (w *endpointWatch) applyResponse(
 	ctx context.Context, response *endpointsResponse,
 ) ([]foxlift.Worker, error) {
@@ -260,6 +261,9 @@
 	if err := ctx.Err(); err != nil {
 		return nil, err
 	}
+	if err := w.table.checkGrowth(response, processResponseBound().entries); err != nil {
+		return nil, responseError{err}
+	}
 	if w.switched { // the last response of the old discovery; the next session requests the new one's complete list
 		w.cancelCalls()
 		workers := w.applyLocked(response)
--- a/internal/platform/line_reader_test.go
+++ b/internal/platform/line_reader_test.go
@@ -50,10 +50,11 @@
 	text := "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + strings.Repeat(line, maxBodyBytes/len(line)) +
 		httpChunk(`{"id":"j1","state":"done","result":"rA"}`) + "0\r\n\r\n"
 	largest := 0
-	conn := &workerConn{buf: readBuffer{conn: scriptedConn{text: strings.NewReader(text)}, reserveSize: func(size int) bool {
+	conn := &workerConn{buf: readBuffer{conn: scriptedConn{text: strings.NewReader(text)}}}
+	conn.buf.reserveSize = func(size int) bool {
 		largest = max(largest, size)
 		return true
-	}}}
+	}
 	a := &attempt{pool: &workerPool{}, job: &core.Job{ID: "j1"}, report: func(core.Report) {}}
 	if r, _ := a.receiveAnswer(conn); string(r.Result) != "rA" || largest > 4*initialBufferSize {
 		t.Errorf("result %q with a buffer of %d bytes, want rA and at most %d bytes", r.Result, largest, 4*initialBufferSize)
--- a/internal/platform/watch_session.go
+++ b/internal/platform/watch_session.go
@@ -74,6 +74,7 @@
 	}
 	workers, err := s.watch.applyResponse(ctx, response)
 	if err != nil {
+		s.watch.requireCompleteIfOversized(err)
 		return err
 	}
 	s.complete, s.synced, s.pendingUpdate = false, true, nil
--- a/internal/platform/worker_conn.go
+++ b/internal/platform/worker_conn.go
@@ -62,13 +62,13 @@
 	errWriteDeadlinePassed = errors.New("attempt's write deadline passed before the last byte of the request was written")
 )
 
-// deliver writes a request of a head and a body, which may be empty. A worker starts the job when it receives the last byte of the request, so deliver holds
-// that byte back for hold and checks that the worker has not closed the connection. A connection that the worker has
-// closed, or closes now, answers the first bytes with a reset, and a job whose last byte was not written never ran.
-// The endpoint list may change or the client disconnect during the hold, so proceed is called after it; if it returns
-// false, or deadline (unless zero) has passed, the last byte is not written. The error is a *sendError: its code is
-// NotSent or Unreachable if the last byte was not written, and Reset if it may have been. After an error the connection
-// cannot be used for another request.
+// deliver writes a request of a head and a body, which may be empty. A worker starts the job when it receives the last
+// byte of the request, so deliver holds that byte back for hold and checks that the worker has not closed the
+// connection. A connection that the worker has closed, or closes now, answers the first bytes with a reset, and a job
+// whose last byte was not written never ran. The endpoint list may change or the client disconnect during the hold, so
+// proceed is called after it; if it returns false, or deadline (unless zero) has passed, the last byte is not written.
+// The error is a *sendError: its code is NotSent or Unreachable if the last byte was not written, and Reset if it may
+// have been. After an error the connection cannot be used for another request.
 func (c *workerConn) deliver(
 	head, body []byte, hold time.Duration, deadline time.Time, proceed func() bool,
 ) error {
