--- a/internal/lab/service/memory_test.go
+++ b/internal/lab/service/memory_test.go
@@ -13,6 +13,8 @@
 	"time"
 
 	"github.com/prometheus/procfs"
+
+	"github.com/vatu-meals/foxlift/internal/lab/fleet"
 )
 
 const (
@@ -84,17 +86,19 @@
 		"X-Remaining: 800m\r\n%sContent-Length: %d\r\n\r\n%s", id, tenant, more, len(body), body)
 }
 
-// maxAnonymousMemory samples the memory of a process, without the pages of files, and returns the largest in bytes.
-func maxAnonymousMemory(t *testing.T, pid int, during time.Duration) (highest uint64) {
-	t.Helper()
-	proc, err := procfs.NewProc(pid)
-	must(t, err)
-	for end := time.Now().Add(during); time.Now().Before(end); <-time.After(memorySamples) {
-		status, err := proc.NewStatus()
-		must(t, err)
-		highest = max(highest, status.RssAnon)
+// anonymousMemory returns the memory that processes take together, without the pages of files, in bytes. Processes that
+// do not run take none.
+func anonymousMemory(processes ...*fleet.Process) (sum uint64) {
+	for _, process := range processes {
+		proc, err := procfs.NewProc(process.ID())
+		if err != nil {
+			continue
+		}
+		if status, err := proc.NewStatus(); err == nil {
+			sum += status.RssAnon
+		}
 	}
-	return highest
+	return sum
 }
 
 // Guards against a scheduler that is killed over its memory limit: clients at full speed send the longest bodies, long
@@ -132,7 +136,10 @@
 			crowd := &flood{addr: d.Addr(), tenant: "south", request: floods[tc.flood]}
 			usual.start(t, 4)
 			crowd.start(t, tc.sockets/3-8) // clients hold a third of the descriptors at most
-			highest := maxAnonymousMemory(t, d.Current.ID(), floodTime)
+			highest := uint64(0)
+			for end := time.Now().Add(floodTime); time.Now().Before(end); <-time.After(memorySamples) {
+				highest = max(highest, anonymousMemory(d.Current))
+			}
 			crowd.stop()
 			usual.stop()
 			t.Logf("%d KiB of memory; usual clients served %d, shed %d", highest>>10,
@@ -147,3 +154,44 @@
 		})
 	}
 }
+
+// Guards against two processes of a scheduler that are over its memory limit together while one takes over from the
+// other under a flood. The upgrade completes in the time that the platform gives.
+func TestFloodDuringUpgradeStaysWithinMemoryLimit(t *testing.T) {
+	topology := DefaultTopology()
+	topology.MemoryMB, topology.Sockets = 32, 1024
+	d := deploy(t, topology)
+	body := strings.Repeat("x", longBody)
+	crowd := &flood{
+		addr: d.Addr(), tenant: "south", request: func(id string) string { return jobRequest(id, "south", "", body) },
+	}
+	crowd.start(t, topology.Sockets/3)
+	await(t, "the flood is answered", testTimeout, func() bool { return crowd.answers[http.StatusOK].Load() > 100 })
+	old := d.Current
+	next, err := d.StartNext()
+	must(t, err)
+	upgraded := make(chan error, 1)
+	go func() {
+		if _, err := AwaitReady(t.Context(), next); err != nil {
+			upgraded <- err
+			return
+		}
+		upgraded <- d.completeUpgrade(t.Context(), &UpgradeReport{}, next)
+	}()
+	highest := uint64(0)
+	for done := false; !done; {
+		select {
+		case err := <-upgraded:
+			must(t, err)
+			done = true
+		case <-time.After(memorySamples):
+			highest = max(highest, anonymousMemory(old, next))
+		}
+	}
+	crowd.stop()
+	t.Logf("%d KiB of memory of both processes", highest>>10)
+	if limit := uint64(topology.MemoryMB) << 20; highest > limit {
+		t.Errorf("memory of both processes reached %d bytes, want at most %d", highest, limit)
+	}
+	must(t, d.Terminate(t.Context()))
+}
