A connection carries no at-most-once job right after an answer that names no job

Cause: a status alone (a turned-away 503) names no job. Its second copy, 12 ms late, is read as the answer to the job that was written on the connection meanwhile: turned away, so never ran, and the module sends the job again. Lines at fault: receiveAnswer and codeForStatus in attempt.go, and execute, which releases the connection at once.

Change: for 100 ms after such an answer a connection carries no job that must not run twice (duplicateAnswerGrace), and none any more if another answer of that kind came within them, since that may have been a copy and the job's own answer is still to come. Other jobs use it as before. Calls of acquire and reuse in tests have the new argument; what they check is the same.

TestConnectionRestsAfterAnonymousAnswer is new and does not compile before.

--- a/internal/platform/attempt.go
+++ b/internal/platform/attempt.go
@@ -54,7 +54,7 @@
 	if !ok {
 		return finalReport(foxlift.NotSent)
 	}
-	conn, err := a.pool.acquire(a.ctx, target)
+	conn, err := a.pool.acquire(a.ctx, target, !a.pool.repeatable[a.job.Class])
 	if err != nil {
 		return finalReport(sendCode(err))
 	}
@@ -191,6 +191,7 @@
 	a.setAwaitingConn(nil)
 	load, hasLoad := a.pool.loadParser.parseHeader(resp.Header[headerLoad])
 	if resp.StatusCode != http.StatusOK {
+		conn.recordAnonymousAnswer()
 		_, err = io.Copy(io.Discard, resp.Body)
 		report = finalReport(codeForStatus(resp))
 		report.Load, report.HasLoad = load, hasLoad
--- a/internal/platform/health_check.go
+++ b/internal/platform/health_check.go
@@ -25,7 +25,7 @@
 	if !ok {
 		return finalReport(foxlift.NotSent)
 	}
-	conn, err := p.acquire(context.Background(), target) // dialTimeout bounds a dial
+	conn, err := p.acquire(context.Background(), target, false) // dialTimeout bounds a dial
 	if err != nil {
 		return finalReport(sendCode(err))
 	}
--- a/internal/platform/worker_conn.go
+++ b/internal/platform/worker_conn.go
@@ -20,6 +20,25 @@
 	idleTimer *time.Timer // closes the connection after idleTimeout, unless it is reused before
 	idleSince time.Time   // when it last became idle; zero for a connection that has served no request yet
 	openedAt  time.Time
+
+	anonymousAnswerAt time.Time // when it received the last answer that names no job; zero if none
+	mayLag            bool      // an answer may have been a copy of the one before, so that its job's own may still come
+}
+
+// duplicateAnswerGrace is how long after an answer that names no job a worker may send it again. As the answer to the
+// next job on the connection it could prove that a job never ran which has run.
+const duplicateAnswerGrace = 100 * time.Millisecond
+
+// recordAnonymousAnswer records that the connection has received an answer that names no job.
+func (c *workerConn) recordAnonymousAnswer() {
+	now := time.Now()
+	c.mayLag = c.mayLag || now.Sub(c.anonymousAnswerAt) < duplicateAnswerGrace
+	c.anonymousAnswerAt = now
+}
+
+// answersAreCertain reports whether an answer that names no job can only be that of the next request.
+func (c *workerConn) answersAreCertain() bool {
+	return !c.mayLag && time.Since(c.anonymousAnswerAt) >= duplicateAnswerGrace
 }
 
 // reused reports whether the connection has served an earlier request.
--- a/internal/platform/worker_pool.go
+++ b/internal/platform/worker_pool.go
@@ -88,18 +88,14 @@
 }
 
 // reuse removes the most recently used idle connection to a worker from the pool and returns it; nil if none is usable.
-// It closes unusable ones.
-func (p *workerPool) reuse(target endpoint) *workerConn {
+// It closes unusable ones. For a job that must not run twice, it leaves connections in the pool whose answers are not
+// certain.
+func (p *workerPool) reuse(target endpoint, mustNotRunTwice bool) *workerConn {
 	for {
-		p.mu.Lock()
-		stack := p.idle[target.address]
-		if len(stack) == 0 {
-			p.mu.Unlock()
+		c := p.popIdle(target.address, mustNotRunTwice)
+		if c == nil {
 			return nil
 		}
-		c := stack[len(stack)-1]
-		p.removeIdleLocked(c)
-		p.mu.Unlock()
 		// If the worker has closed the connection, the FIN or RST has mostly arrived. If the worker has crashed and
 		// restarted, its start is later than the connection. In both cases a request on the connection would fail
 		// as if the job might have run.
@@ -110,6 +106,20 @@
 	}
 }
 
+// popIdle removes the most recently used idle connection to an address, and returns it; nil if there is none. For a job
+// that must not run twice it skips connections whose answers are not certain.
+func (p *workerPool) popIdle(address string, mustNotRunTwice bool) *workerConn {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, c := range slices.Backward(p.idle[address]) {
+		if !mustNotRunTwice || c.answersAreCertain() {
+			p.removeIdleLocked(c)
+			return c
+		}
+	}
+	return nil
+}
+
 // removeIdleLocked removes a connection from the idle connections; false if it is not among them.
 func (p *workerPool) removeIdleLocked(c *workerConn) bool {
 	stack := p.idle[c.addr]
@@ -201,11 +211,12 @@
 	p.setBudget(budget - by)
 }
 
-// acquire returns an idle connection to a worker, or dials one. The error is a *sendError. A lack of file descriptors
+// acquire returns an idle connection to a worker, or dials one, for a job that must not run twice or for any other
+// request. The error is a *sendError. A lack of file descriptors
 // is reported as NotSent, since it is not a fault of the worker; any other failure, also the end of ctx, is reported as
 // Unreachable. Both are counted.
-func (p *workerPool) acquire(ctx context.Context, target endpoint) (*workerConn, error) {
-	if c := p.reuse(target); c != nil {
+func (p *workerPool) acquire(ctx context.Context, target endpoint, mustNotRunTwice bool) (*workerConn, error) {
+	if c := p.reuse(target, mustNotRunTwice); c != nil {
 		return c, nil
 	}
 	c, err := p.dial(ctx, target.address)
--- a/internal/platform/worker_pool_test.go
+++ b/internal/platform/worker_pool_test.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/vatu-meals/foxlift"
+	"github.com/vatu-meals/foxlift/internal/core"
 	"github.com/vatu-meals/foxlift/internal/counters"
 )
 
@@ -55,12 +56,12 @@
 	if _, err := pool.dial(t.Context(), addr); !errors.Is(err, errNoDescriptor) {
 		t.Errorf("dial() over the budget: error %v, want %v", err, errNoDescriptor)
 	}
-	if c, err := pool.acquire(t.Context(), target); c != nil || sendCode(err) != foxlift.NotSent {
+	if c, err := pool.acquire(t.Context(), target, false); c != nil || sendCode(err) != foxlift.NotSent {
 		t.Errorf("acquire() over the budget: error %v, want one with code %v", err, foxlift.NotSent)
 	}
 	pool.release(a)
 	pool.release(b)
-	check(t, "reused connection", pool.reuse(target), b)
+	check(t, "reused connection", pool.reuse(target, false), b)
 	c := dial() // closes a, which is idle
 	check(t, "addresses with idle connections", len(pool.idle), 0)
 	pool.release(b)
@@ -71,11 +72,11 @@
 		defer pool.mu.Unlock()
 		return pool.open == 1
 	})
-	check(t, "reused connection after the idle timeout of c", pool.reuse(target), b)
+	check(t, "reused connection after the idle timeout of c", pool.reuse(target, false), b)
 	pool.idleTimeout = time.Hour
 	pool.release(b)
 	target.startedAt = time.Now() // the worker has restarted: the connection was opened to its former process
-	if c := pool.reuse(target); c != nil {
+	if c := pool.reuse(target, false); c != nil {
 		t.Error("reuse() returned a connection to a former process of the worker")
 	}
 	check(t, "open connections", pool.open, 0)
@@ -87,12 +88,12 @@
 	closed := newTestWorker(t, nil)
 	closed.Close()
 	pool := &workerPool{counters: &counters.Set{}, dialTimeout: waitTimeout, budget: 1, idle: map[string][]*workerConn{}}
-	c, err := pool.acquire(t.Context(), endpoint{address: closed.Addr().String()})
+	c, err := pool.acquire(t.Context(), endpoint{address: closed.Addr().String()}, false)
 	if c != nil || sendCode(err) != foxlift.Unreachable {
 		t.Errorf("acquire() with a refused dial: error %v, want one with code %v", err, foxlift.Unreachable)
 	}
 	pool.dialTimeout = time.Nanosecond
-	c, err = pool.acquire(t.Context(), endpoint{address: listen(t).Addr().String()})
+	c, err = pool.acquire(t.Context(), endpoint{address: listen(t).Addr().String()}, false)
 	if c != nil || sendCode(err) != foxlift.Unreachable {
 		t.Errorf("acquire() with a dial timeout: error %v, want one with code %v", err, foxlift.Unreachable)
 	}
@@ -154,3 +155,44 @@
 		check(t, when+": complete requests of the second job", len(complete), 1)
 	}
 }
+
+// Guards against a second copy of a turned-away answer that is taken for the answer to an at-most-once job which was
+// written on the connection meanwhile: the job would run twice. The connection rests before it carries such a job.
+func TestConnectionRestsAfterAnonymousAnswer(t *testing.T) {
+	worker := newTestWorker(t, func(c net.Conn, _ *http.Request, _ string) bool {
+		_, err := io.WriteString(c, "HTTP/1.1 503 No\r\nX-Turned-Away: 1\r\nContent-Length: 0\r\n\r\n")
+		return err == nil
+	})
+	target := endpoint{address: worker.Addr().String()}
+	pool := &workerPool{
+		findLive: func(string) (endpoint, bool) { return target, true }, counters: &counters.Set{},
+		dialTimeout: waitTimeout, idleTimeout: time.Hour, budget: 9, idle: map[string][]*workerConn{},
+		repeatable: map[string]bool{"reading": true},
+	}
+	reports := make(chan core.Report, 9)
+	job := &core.Job{ID: "j", Class: "ratify", Payload: &payload{method: "POST", target: "/ratify"}}
+	pool.Send("n", job, core.AttemptLimits{Remaining: waitTimeout}, func(r core.Report) { reports <- r })
+	check(t, "code", (<-reports).Code, foxlift.Saturated)
+	c := pool.idle[target.address][0]
+	if c.anonymousAnswerAt.IsZero() {
+		t.Error("the time of the answer is not recorded")
+	}
+	c.anonymousAnswerAt = time.Now().Add(time.Hour) // the test may stall for longer than the grace
+	if c := pool.reuse(target, true); c != nil {
+		t.Error("reuse() for a job that must not run twice returned the connection right after the answer, want none")
+	}
+	check(t, "reused connection for another job", pool.reuse(target, false), c)
+	c.anonymousAnswerAt = time.Now().Add(-duplicateAnswerGrace)
+	pool.release(c)
+	check(t, "reused connection after the grace", pool.reuse(target, true), c)
+	// The second of two answers in a row may have been a copy: then the second job's own answer is still to come.
+	c.anonymousAnswerAt = time.Now().Add(time.Hour)
+	pool.release(c)
+	job.Class = "reading"
+	pool.Send("n", job, core.AttemptLimits{Remaining: waitTimeout}, func(r core.Report) { reports <- r })
+	check(t, "code", (<-reports).Code, foxlift.Saturated)
+	c.anonymousAnswerAt = time.Now().Add(-duplicateAnswerGrace)
+	if c := pool.reuse(target, true); c != nil {
+		t.Error("reuse() for a job that must not run twice returned a connection that may lag, want none")
+	}
+}
