A process that takes over uses its predecessor's endpoint list until discovery answers

Cause: the state that is handed over had no endpoint list. The new process went by the cached list of its configuration, which is as old as the first start.

Change: writeState saves the endpoint list with its version and discovery, once discovery has confirmed one. An older process ignores the new field, and its state has none.

--- a/internal/daemon/successor.go
+++ b/internal/daemon/successor.go
@@ -8,11 +8,12 @@
 	"go.uber.org/zap"
 
 	"github.com/vatu-meals/foxlift/internal/core"
+	"github.com/vatu-meals/foxlift/internal/platform"
 )
 
 // Time limits of a takeover, as the successor process applies them.
 const (
-	endpointsTimeout        = 4 * time.Second          // for an answer of discovery; then the cached list is used
+	endpointsTimeout        = 4 * time.Second          // for an answer of discovery; then the list at hand is used
 	startPollInterval       = 10 * time.Millisecond    // between checks of a condition that the start waits for
 	predecessorStateTimeout = 5 * takeoverPollInterval // for the predecessor's first save of its state
 	maxStateAge             = 2 * time.Second          // an older state was saved by a process that has exited
@@ -30,13 +31,31 @@
 // that saved it has exited.
 var errStaleState = errors.New("the predecessor's saved state is stale")
 
-// runSuccessor takes over from the predecessor. It waits for the endpoint list and for the predecessor's
-// state, and then serves clients beside the predecessor. If it cannot listen, Failed delivers the error. It is a
-// background task; a shutdown ends it.
+// A handover is what a process saves for its successor.
+type handover struct {
+	core.State
+	Endpoints *platform.EndpointSnapshot `json:"Endpoints,omitempty"` // nil until discovery has confirmed a list
+}
+
+// A handoverProgress is the part of a handover that the successor polls.
+type handoverProgress struct {
+	core.DrainProgress
+	Endpoints *platform.EndpointSnapshot `json:"Endpoints"`
+}
+
+// runSuccessor takes over from the predecessor. It begins with the predecessor's endpoint list, waits for discovery and
+// for the predecessor's state, and then serves clients beside the predecessor. If it cannot listen, Failed delivers the
+// error. It is a background task; a shutdown ends it.
 func (d *Daemon) runSuccessor() {
 	d.divideLimits(twoProcesses)
-	d.platform.StartWatch()
 	shuttingDown := d.lifecycle.shuttingDown
+	if d.awaitPredecessorState(shuttingDown) != nil {
+		return
+	}
+	if progress, err := d.loadPredecessorProgress(); err == nil {
+		d.adoptEndpoints(progress)
+	}
+	d.platform.StartWatch()
 	if d.awaitEndpoints(shuttingDown) != nil || d.awaitPredecessorState(shuttingDown) != nil {
 		return
 	}
@@ -50,13 +69,24 @@
 	})
 }
 
-// awaitEndpoints waits until discovery has sent the endpoint list and the core accepts jobs or, after
-// endpointsTimeout, until a list with a live worker is available, which may be the cached one. The second
+// adoptEndpoints uses the endpoint list that the predecessor saved, if it has saved one: the cached list of the
+// configuration may be from before changes of which the scheduler was notified.
+func (d *Daemon) adoptEndpoints(progress *handoverProgress) {
+	if progress.Endpoints == nil {
+		return
+	}
+	if err := d.platform.AdoptEndpoints(progress.Endpoints); err != nil {
+		d.log.Warn("takeover: cannot use the predecessor's endpoint list", zap.Error(err))
+	}
+}
+
+// awaitEndpoints waits until discovery has sent the endpoint list and the core accepts jobs or, endpointsTimeout
+// after the start of the process, until a list with a live worker is available, which may be the cached one. The second
 // wait has no limit. It returns an error only if ctx is done.
 func (d *Daemon) awaitEndpoints(ctx context.Context) error {
 	ticker := time.NewTicker(startPollInterval)
 	defer ticker.Stop()
-	timeout := time.After(endpointsTimeout)
+	timeout := time.After(endpointsTimeout - time.Since(d.lifecycle.startedAt))
 	ready := d.platform.HasSynced
 	for !ready() {
 		select {
@@ -116,12 +146,12 @@
 
 // loadPredecessorProgress loads the part of the predecessor's state that a successor polls. It returns an error if
 // there is no state, or if the state is unreadable or stale.
-func (d *Daemon) loadPredecessorProgress() (*core.DrainProgress, error) {
-	progress := &core.DrainProgress{}
+func (d *Daemon) loadPredecessorProgress() (*handoverProgress, error) {
+	progress := &handoverProgress{}
 	if err := d.takeover.lock.LoadState(progress); err != nil {
 		return nil, err
 	}
-	if err := checkStateAge(progress); err != nil {
+	if err := checkStateAge(&progress.DrainProgress); err != nil {
 		return nil, err
 	}
 	return progress, nil
@@ -149,6 +179,9 @@
 		return // the next poll retries
 	}
 	d.Core.SetExternalSlots(progress.InFlight)
+	if !d.platform.HasSynced() {
+		d.adoptEndpoints(progress) // discovery may still notify the predecessor
+	}
 	overlap := time.Unix(0, progress.TakenAt).Sub(d.takeover.listeningSince)
 	if overlap > minOverlap && progress.Open == 0 {
 		d.takeover.predecessorMayExit.Store(true)
--- a/internal/daemon/takeover.go
+++ b/internal/daemon/takeover.go
@@ -175,7 +175,7 @@
 	}
 }
 
-// writeState requests the core's state and writes it to the state file of the lock.
+// writeState requests the core's state and writes it, with the endpoint list, to the state file of the lock.
 func (d *Daemon) writeState(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, stateTimeout)
 	defer cancel()
@@ -183,7 +183,11 @@
 	if err != nil {
 		return err
 	}
-	return d.takeover.lock.SaveState(state)
+	saved := &handover{State: *state}
+	if endpoints, ok := d.platform.SnapshotEndpoints(); ok {
+		saved.Endpoints = endpoints
+	}
+	return d.takeover.lock.SaveState(saved)
 }
 
 // processCount returns the number of processes that share the limits.
--- a/internal/daemon/takeover_test.go
+++ b/internal/daemon/takeover_test.go
@@ -6,6 +6,8 @@
 	"strings"
 	"testing"
 	"time"
+
+	"github.com/vatu-meals/foxlift/internal/standin"
 )
 
 // An adminFixture is a fixture whose scheduler has an operators' address, so that another process can
@@ -130,3 +132,41 @@
 			err, took, acquireTimeout)
 	}
 }
+
+// Guards against a successor that starts while discovery is down and sends jobs to a worker whose drain the predecessor
+// was notified of: it uses the predecessor's list, not the older one of its configuration.
+func TestSuccessorUsesThePredecessorsEndpoints(t *testing.T) {
+	a, predecessor := startAdminFixture(t)
+	draining := a.workers[1:]
+	before, _ := predecessor.platform.EndpointsVersion()
+	for _, worker := range draining {
+		a.discovery.Put(worker, standin.Leaving)
+	}
+	a.await(t, "the predecessor is notified of the drains", func() bool {
+		version, confirmed := predecessor.platform.EndpointsVersion()
+		return confirmed && version >= before+int64(len(draining))
+	})
+	a.stopDiscovery()
+	successor := a.startProcess(t)
+	a.await(t, "the successor is ready", successor.Ready)
+	predecessor.ShutDown()
+	a.Daemon = successor
+	requests := func() (sum int64) {
+		for _, worker := range draining {
+			sum += worker.Requests()
+		}
+		return sum
+	}
+	requestsBefore := requests()
+	client := a.client("islands", "reading", "c")
+	served := 0
+	a.await(t, "jobs are served", func() bool {
+		if client.Send() == http.StatusOK {
+			served++
+		}
+		return served == 50
+	})
+	if got := requests() - requestsBefore; got != 0 {
+		t.Errorf("draining workers got %d requests for %d jobs, want 0", got, served)
+	}
+}
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -47,6 +47,7 @@
 	listenAddr    string           // address for clients
 	shareAddr     bool             // another process may listen on the address at the same time
 	cachedWorkers []foxlift.Worker // workers of the cached endpoint list, saved before the start
+	watchStarted  bool             // StartWatch was called
 	log           *zap.Logger
 }
 
@@ -137,6 +138,7 @@
 
 // StartWatch starts the endpoint watch, and the core with the cached endpoint list.
 func (p *Platform) StartWatch() {
+	p.watchStarted = true
 	p.endpoints.Watch() // its initial delay spreads the requests of schedulers that start at the same time
 	env := core.Environment{
 		Workers: p.pool, EndpointWatch: p.endpoints, MaxOpen: maxOpenJobs(p.connsPerSide), CachedEndpoints: p.cachedWorkers,
