The affinity key is read from the query without a map of all parameters

Change: queryValue searches the one parameter, with the same result as package url.

Result: TestQueryValue compares it with url.ParseQuery; new, does not compile before.

--- a/internal/platform/job_request.go
+++ b/internal/platform/job_request.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math"
 	"net/http"
+	"net/url"
 	"strconv"
 	"strings"
 	"time"
@@ -58,7 +59,7 @@
 		Class:             class,
 		Tenant:            req.Header.Get(headerTenant),
 		Remaining:         remaining,
-		Key:               config.ParseAffinityKey([]byte(req.URL.Query().Get(queryKey))),
+		Key:               config.ParseAffinityKey([]byte(queryValue(req.URL.RawQuery, queryKey))),
 		Slots:             slots,
 		Memory:            memory,
 		ClientRetry:       req.Header.Get(headerRetry) == "1",
@@ -69,6 +70,24 @@
 	}, nil
 }
 
+// queryValue returns the first value of a parameter in a query; "" if there is none. It gives the same result as
+// url.Values.Get, without a map of all the parameters.
+func queryValue(query, name string) string {
+	for parameter := range strings.SplitSeq(query, "&") {
+		key, value, _ := strings.Cut(parameter, "=")
+		if strings.Contains(parameter, ";") {
+			continue // invalid, as for package url
+		}
+		if key, err := url.QueryUnescape(key); err != nil || key != name {
+			continue
+		}
+		if value, err := url.QueryUnescape(value); err == nil {
+			return value
+		}
+	}
+	return ""
+}
+
 // isVisibleASCII reports whether s is not empty and holds only visible ASCII characters, as the headers sent to workers
 // require.
 func isVisibleASCII(s string) bool {
--- a/internal/platform/job_request_test.go
+++ b/internal/platform/job_request_test.go
@@ -5,6 +5,7 @@
 	"math"
 	"net/http"
 	"net/http/httptest"
+	"net/url"
 	"strings"
 	"testing"
 	"time"
@@ -43,6 +44,19 @@
 	}
 }
 
+// The affinity key must be the one that package url finds in the query, since workers may use that.
+func TestQueryValue(t *testing.T) {
+	for _, query := range []string{
+		"", "user=a", "user=", "user", "x=1&user=a", "user=a&user=b", "user=%61+b", "us%65r=a", "user=%zz&user=b",
+		"%zz=1&user=c", "user=a;b&user=c", "USER=a", "&&user=a=b&", strings.Repeat("a&", 4000) + "user=z",
+	} {
+		values, _ := url.ParseQuery(query)
+		if got, want := queryValue(query, "user"), values.Get("user"); got != want {
+			t.Errorf("queryValue(%.40q) = %q, want %q", query, got, want)
+		}
+	}
+}
+
 func TestParseJob(t *testing.T) {
 	valid := func() *http.Request {
 		r := httptest.NewRequestWithContext(t.Context(), http.MethodPost, "/reading?user=00000000000000ff", nil)
