--- a/internal/lab/mutants.go
+++ b/internal/lab/mutants.go
@@ -191,8 +191,8 @@
 	{
 		Name:    "a final state without the last chunk is accepted",
 		File:    "internal/platform/state_lines.go",
-		Old:     "if err := lines.Err(); err != nil {",
-		New:     "if err := lines.Err(); err != nil && final == nil {",
+		Old:     "if lines.err != nil {",
+		New:     "if lines.err != nil && final == nil {",
 		Package: "./internal/platform",
 		Run:     platformFuzz,
 	},
