--- a/internal/core/model_test.go
+++ b/internal/core/model_test.go
@@ -18,7 +18,7 @@
 // The model test runs the whole scheduler (core, dispatchers and cells) against fakes of Workers, EndpointWatch
 // and Client, on virtual time (testing/synctest: a bubble whose clock advances when all its goroutines are
 // blocked, and which does not end before all of them have). It executes a script of random actions. Invariants
-// are checked while the script runs (model_world_test.go) and at its end, and the histories of at-most-once jobs
+// are checked while the script runs (model_environment_test.go) and at its end, and the histories of at-most-once jobs
 // are checked for linearizability against a write-once register (model_register_test.go).
 
 const modelSettings = `{"balancers":2,"slotNo":0,"discovery":"subscribe","dcs":["a","b"],"zone":"a","flavors":["k","l"],
--- a/internal/lab/service/operators.go
+++ b/internal/lab/service/admin_client.go
@@ -25,14 +25,14 @@
 func (e *StatusError) Error() string { return fmt.Sprintf("%s returned status %d", e.Call, e.Status) }
 
 // Health returns nil if the process is ready to serve, and an error otherwise.
-func (o AdminClient) Health(ctx context.Context) error {
-	_, err := o.call(ctx, http.MethodGet, "/admin/health")
+func (c AdminClient) Health(ctx context.Context) error {
+	_, err := c.call(ctx, http.MethodGet, "/admin/health")
 	return err
 }
 
 // Stats fetches the metrics.
-func (o AdminClient) Stats(ctx context.Context) (Metrics, error) {
-	text, err := o.call(ctx, http.MethodGet, "/admin/stats")
+func (c AdminClient) Stats(ctx context.Context) (Metrics, error) {
+	text, err := c.call(ctx, http.MethodGet, "/admin/stats")
 	if err != nil {
 		return Metrics{}, err
 	}
@@ -40,20 +40,20 @@
 }
 
 // Quiesce takes the scheduler out of service: it stops being healthy and disconnects its clients.
-func (o AdminClient) Quiesce(ctx context.Context) error {
-	_, err := o.call(ctx, http.MethodPut, "/admin/quiesce")
+func (c AdminClient) Quiesce(ctx context.Context) error {
+	_, err := c.call(ctx, http.MethodPut, "/admin/quiesce")
 	return err
 }
 
 // Resume puts the scheduler back into service.
-func (o AdminClient) Resume(ctx context.Context) error {
-	_, err := o.call(ctx, http.MethodPut, "/admin/resume")
+func (c AdminClient) Resume(ctx context.Context) error {
+	_, err := c.call(ctx, http.MethodPut, "/admin/resume")
 	return err
 }
 
 // call makes one call to the admin address and returns the response's body.
-func (o AdminClient) call(ctx context.Context, method, path string) (string, error) {
-	return Fetch(ctx, method, "http://"+o.Addr+path)
+func (c AdminClient) call(ctx context.Context, method, path string) (string, error) {
+	return Fetch(ctx, method, "http://"+c.Addr+path)
 }
 
 // Fetch makes one HTTP call on a new connection, within CallTimeout, and returns the body of a 2xx
--- a/internal/lab/service/figures.go
+++ b/internal/lab/service/metrics.go
@@ -41,41 +41,41 @@
 
 // ParseMetrics parses the Prometheus text format. It fails if a metric is missing, except that the
 // responses of a class may be missing if there were none, and if the responses have an unknown result.
-func ParseMetrics(text string) (f Metrics, err error) {
+func ParseMetrics(text string) (m Metrics, err error) {
 	parser := expfmt.NewTextParser(model.LegacyValidation)
 	families, err := parser.TextToMetricFamilies(strings.NewReader(text))
 	if err != nil {
-		return f, err
+		return m, err
 	}
 	single := map[string]*float64{
-		attemptsName: &f.Attempts,
-		activeName:   &f.Active,
-		poolSizeName: &f.PoolSize,
-		ejectedName:  &f.Ejected,
+		attemptsName: &m.Attempts,
+		activeName:   &m.Active,
+		poolSizeName: &m.PoolSize,
+		ejectedName:  &m.Ejected,
 	}
 	for name, to := range single {
 		metrics := families[name].GetMetric()
 		if len(metrics) != 1 {
-			return f, fmt.Errorf("metrics contain %s %d times, want once", name, len(metrics))
+			return m, fmt.Errorf("metrics contain %s %d times, want once", name, len(metrics))
 		}
 		*to = metricValue(metrics[0])
 	}
-	f.Responses = map[string]Responses{}
+	m.Responses = map[string]Responses{}
 	for _, metric := range families[responsesName].GetMetric() {
-		if err := f.addResponses(metric); err != nil {
-			return f, err
+		if err := m.addResponses(metric); err != nil {
+			return m, err
 		}
 	}
-	return f, nil
+	return m, nil
 }
 
 // addResponses stores the number of responses of one class and result.
-func (f *Metrics) addResponses(metric *dto.Metric) error {
+func (m *Metrics) addResponses(metric *dto.Metric) error {
 	labels := map[string]string{}
 	for _, label := range metric.GetLabel() {
 		labels[label.GetName()] = label.GetValue()
 	}
-	responses := f.Responses[labels["kind"]]
+	responses := m.Responses[labels["kind"]]
 	switch labels["result"] {
 	case "ok":
 		responses.OK = metricValue(metric)
@@ -86,7 +86,7 @@
 	default:
 		return fmt.Errorf("metric %s has unknown labels %v", responsesName, labels)
 	}
-	f.Responses[labels["kind"]] = responses
+	m.Responses[labels["kind"]] = responses
 	return nil
 }
 
@@ -103,7 +103,7 @@
 
 // Mismatches describes how the responses differ from the clients' own tally; it is empty if they agree
 // within JobsTolerance or absoluteTolerance. It does not compare classes that answers lacks.
-func (f Metrics) Mismatches(answers map[string]Responses) string {
+func (m Metrics) Mismatches(answers map[string]Responses) string {
 	var mismatches []string
 	check := func(class, result string, reported, actual float64) {
 		if !WithinTolerance(reported, actual, JobsTolerance) {
@@ -112,7 +112,7 @@
 		}
 	}
 	for class, received := range answers {
-		reported := f.Responses[class]
+		reported := m.Responses[class]
 		check(class, "ok", reported.OK, received.OK)
 		check(class, "shed", reported.Shed, received.Shed)
 		check(class, "errors", reported.Errors, received.Errors)
--- a/internal/lab/service/quiesce_test.go
+++ b/internal/lab/service/quiesce_test.go
@@ -118,8 +118,8 @@
 }
 
 // checkAlive returns nil if the process still answers on its admin address.
-func (o AdminClient) checkAlive(ctx context.Context) error {
-	_, err := o.Stats(ctx)
+func (c AdminClient) checkAlive(ctx context.Context) error {
+	_, err := c.Stats(ctx)
 	return err
 }
 
--- a/internal/lab/service/stats_test.go
+++ b/internal/lab/service/stats_test.go
@@ -69,8 +69,8 @@
 }
 
 // servedJobs returns how many jobs were served according to the metrics.
-func (f Metrics) servedJobs() (sum float64) {
-	for _, r := range f.Responses {
+func (m Metrics) servedJobs() (sum float64) {
+	for _, r := range m.Responses {
 		sum += r.OK
 	}
 	return sum
