A long head reserves memory for the parser's copy too

Cause: seen in trials of the flood with heads of 15.8 KB that stop before their end, on 460 connections at 32 MB and 1,024 descriptors: 27 MB, which is within the limit but near it. The parser collects an incomplete line in memory of its own, which nothing counted.

--- a/internal/platform/client_conn.go
+++ b/internal/platform/client_conn.go
@@ -68,9 +68,14 @@
 // if serve has not read that yet.
 func (p *pendingAnswer) Disconnected() bool { return peerClosed(p.conn.conn) }
 
-// reserveBuffer reserves memory for a size of the read buffer, and returns whether it is available.
+// reserveBuffer reserves memory for a size of the read buffer and for the copy that a parser makes of an incomplete
+// line, and returns whether it is available.
 func (c *clientConn) reserveBuffer(size int) bool {
-	return c.bufferMemory.resize(c.server.memory, "", int64(size))
+	if size <= unreservedBytes {
+		c.bufferMemory.release()
+		return true
+	}
+	return c.bufferMemory.resize(c.server.memory, "", 2*int64(size))
 }
 
 // serve handles requests until the connection ends, and closes it.
