--- a/replay_amd64_test.go
+++ b/replay_decisions_test.go
@@ -10,8 +10,9 @@
 const minRecordings = 10
 
 // TestReplay replays the recordings to new dispatchers: every step must return the recorded actions, and every
-// snapshot must equal the recorded bytes. The recordings, and so this file, are for amd64: other processors may fuse
-// a multiplication and an addition, with only one rounding.
+// snapshot must equal the recorded bytes. The recordings are from amd64. Go may fuse a multiplication and an addition,
+// with only one rounding, on processors that have such an instruction (arm64 is one): there the test needs the compiler
+// flag -gcflags=all=-d=fmahash=qn, which keeps the compiler from it.
 func TestReplay(t *testing.T) {
 	paths, err := filepath.Glob(recordings)
 	if err != nil || len(paths) < minRecordings {
