--- a/review/rig2/common.go
+++ b/review/rig2/common.go
@@ -86,26 +86,67 @@
 
 // A discovery is a stand-in for discovery that tells changes when they are made.
 type discovery struct {
-	addr  string
-	delay time.Duration // of each answer
+	delay time.Duration // for which a call waits for its turn; the time for which a watch may wait goes on meanwhile
 
-	mu      sync.Mutex
-	seq     int64
-	hosts   []host
-	changed chan struct{}
-	changes map[int64]host // by version
+	mu       sync.Mutex
+	seq      int64
+	hosts    []host
+	changed  chan struct{}
+	changes  map[int64]host // by version
+	listener net.Listener
+	conns    []net.Conn // of listener
 }
 
 func newDiscovery(hosts []host, delay time.Duration) *discovery {
-	l := listen()
 	d := &discovery{
-		addr: l.Addr().String(), delay: delay, seq: 1, hosts: hosts,
-		changed: make(chan struct{}), changes: map[int64]host{},
+		delay: delay, seq: 1, hosts: append([]host{}, hosts...), changed: make(chan struct{}), changes: map[int64]host{},
 	}
-	go http.Serve(l, d)
+	d.open()
 	return d
 }
 
+// address returns where discovery listens.
+func (d *discovery) address() string {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.listener.Addr().String()
+}
+
+// open makes discovery listen at a new address.
+func (d *discovery) open() {
+	l := listen()
+	d.mu.Lock()
+	d.listener, d.conns = l, nil
+	d.mu.Unlock()
+	server := http.Server{Handler: d, ConnState: func(c net.Conn, state http.ConnState) {
+		if state == http.StateNew {
+			d.mu.Lock()
+			defer d.mu.Unlock()
+			if d.listener == l {
+				d.conns = append(d.conns, c)
+			}
+		}
+	}}
+	go server.Serve(l)
+}
+
+// move makes discovery listen at a new address. leave ends the old one: it accepts no new connection and closes the
+// open ones after a time.
+func (d *discovery) move(closeAfter time.Duration) (leave func()) {
+	d.mu.Lock()
+	listener, conns := d.listener, d.conns
+	d.mu.Unlock()
+	d.open()
+	return func() {
+		listener.Close()
+		time.AfterFunc(closeAfter, func() {
+			for _, c := range conns {
+				c.Close()
+			}
+		})
+	}
+}
+
 // put changes the entry of a worker, or adds it.
 func (d *discovery) put(h host) {
 	d.mu.Lock()
@@ -130,6 +171,7 @@
 	index, err := strconv.ParseInt(r.URL.Query().Get("index"), 10, 64)
 	wait, _ := strconv.ParseInt(r.URL.Query().Get("wait"), 10, 64)
 	deadline := time.After(time.Duration(wait) * time.Millisecond)
+	time.Sleep(d.delay)
 	d.mu.Lock()
 	for err == nil && index == d.seq {
 		changed := d.changed
@@ -158,7 +200,6 @@
 	}
 	text, _ := json.Marshal(map[string]any{"seq": d.seq, "whole": whole, "hosts": hosts})
 	d.mu.Unlock()
-	time.Sleep(d.delay)
 	w.Header().Set("Content-Length", strconv.Itoa(len(text)))
 	w.Write(text)
 }
@@ -170,11 +211,21 @@
 	record   *record
 	service  map[string]time.Duration // by class
 	listener net.Listener
+
+	mu       sync.Mutex
+	conns    map[net.Conn]struct{}
+	received []arrival
+}
+
+// An arrival is a request that a worker has read.
+type arrival struct {
+	id        string
+	firstByte time.Time
 }
 
 func newWorker(name string, r *record, service map[string]time.Duration) *worker {
 	l := listen()
-	w := &worker{name: name, addr: l.Addr().String(), record: r, service: service, listener: l}
+	w := &worker{name: name, addr: l.Addr().String(), record: r, service: service, listener: l, conns: map[net.Conn]struct{}{}}
 	go w.accept()
 	return w
 }
@@ -194,9 +245,21 @@
 }
 
 func (w *worker) serve(c net.Conn) {
-	defer c.Close()
+	w.mu.Lock()
+	w.conns[c] = struct{}{}
+	w.mu.Unlock()
+	defer func() {
+		w.mu.Lock()
+		delete(w.conns, c)
+		w.mu.Unlock()
+		c.Close()
+	}()
 	in := bufio.NewReader(c)
 	for {
+		if _, err := in.Peek(1); err != nil {
+			return
+		}
+		firstByte := time.Now()
 		req, err := http.ReadRequest(in)
 		if err != nil {
 			return
@@ -210,6 +273,9 @@
 			continue
 		}
 		w.record.add("%s run %s remaining %s", w.name, id, req.Header.Get("X-Remaining"))
+		w.mu.Lock()
+		w.received = append(w.received, arrival{id, firstByte})
+		w.mu.Unlock()
 		fmt.Fprint(c, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
 		w.line(c, id, `"state":"started"`)
 		time.Sleep(w.service[req.Header.Get("X-Lane")])
@@ -220,6 +286,24 @@
 	}
 }
 
+// end ends the worker: its connections are reset, and new ones are refused.
+func (w *worker) end() {
+	w.listener.Close()
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for c := range w.conns {
+		c.(*net.TCPConn).SetLinger(0)
+		c.Close()
+	}
+}
+
+// arrivals returns the requests that the worker has read.
+func (w *worker) arrivals() []arrival {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return append([]arrival{}, w.received...)
+}
+
 func (w *worker) line(c net.Conn, id, rest string) {
 	line := fmt.Sprintf(`{"id":"%s","from":"%s",%s}`+"\n", id, w.name, rest)
 	fmt.Fprintf(c, "%x\r\n%s\r\n", len(line), line)
--- a/review/rig2/crowd.go
+++ b/review/rig2/crowd.go
@@ -30,13 +30,13 @@
 	d := newDiscovery(hosts, 0)
 	listenAt, config := freeAddress(), p.directory+"/config.json"
 	writeJSON(config, map[string]any{
-		"name": "n1", "listen": listenAt, "discovery": d.addr, "seed": "8c1f30d27a5be964",
+		"name": "n1", "listen": listenAt, "discovery": d.address(), "seed": "8c1f30d27a5be964",
 		"limits":   map[string]any{"cores": 1.0, "memory_mb": 96, "sockets": crowdSockets},
 		"known":    map[string]any{"seq": 1, "whole": true, "hosts": hosts},
 		"settings": settings(soundWait),
 	})
 	process := startScheduler("scheduler", p, "LB_CONFIG="+config, "LB_NAME=n1", "LB_LISTEN="+listenAt,
-		"LB_DISCOVERY="+d.addr)
+		"LB_DISCOVERY="+d.address())
 	awaitStatus(listenAt, "/_health", 20*time.Second)
 	p.record.add("the scheduler is ready")
 
--- a/review/rig2/upgrade.go
+++ b/review/rig2/upgrade.go
@@ -42,14 +42,14 @@
 		fatal("%v", err)
 	}
 	writeJSON(config, map[string]any{
-		"name": "n1", "listen": listenAt, "admin": admins[0], "discovery": d.addr, "seed": "8c1f30d27a5be964",
+		"name": "n1", "listen": listenAt, "admin": admins[0], "discovery": d.address(), "seed": "8c1f30d27a5be964",
 		"limits":   map[string]any{"cores": 1.0, "memory_mb": 96, "sockets": upgradeSockets},
 		"known":    map[string]any{"seq": 1, "whole": true, "hosts": hosts},
 		"settings": settings(readingWait),
 	})
 	start := func(i int) *process {
 		return startScheduler(fmt.Sprintf("process-%d", i+1), p, "LB_CONFIG="+config, "LB_NAME=n1",
-			"LB_LISTEN="+listenAt, "LB_ADMIN="+admins[i], "LB_DISCOVERY="+d.addr, "TMPDIR="+temporary)
+			"LB_LISTEN="+listenAt, "LB_ADMIN="+admins[i], "LB_DISCOVERY="+d.address(), "TMPDIR="+temporary)
 	}
 	first := start(0)
 	awaitStatus(listenAt, "/_health", 20*time.Second)
