Review case 8: while discovery refuses calls after a wait, jobs go to draining workers and are lost

Cause, as far as known: a list past its lease is used as long as the last failure was a refusal after a wait, for any time, and then by workers that accepted a job lately, which draining ones may do.

Change: the case with its claim and script; the stand-in for discovery handles calls in turn.

--- a/review/8/run.sh
+++ b/review/8/run.sh
@@ -1,5 +1,5 @@
 #!/bin/sh
-# Plays the case upgrade of review/rig2: exit code 1 if the rule was broken, 0 if it held, 2 if the case could not run.
+# Plays the case callers of review/rig2: exit code 1 if the rule was broken, 0 if it held, 2 if the case could not run.
 # TROUBLE=0 plays the same without the disruption.
 folder=$(cd "$(dirname "$0")" && pwd) || exit 2
 RIG_ROOT=$(cd "$folder/../.." && pwd) || exit 2
@@ -10,4 +10,4 @@
 		exit 2
 	fi
 done
-exec "$RIG_ROOT/review/bin/rig2" upgrade "$folder"
+exec "$RIG_ROOT/review/bin/rig2" callers "$folder"
--- a/review/rig2/common.go
+++ b/review/rig2/common.go
@@ -87,6 +87,7 @@
 // A discovery is a stand-in for discovery that tells changes when they are made.
 type discovery struct {
 	delay time.Duration // for which a call waits for its turn; the time for which a watch may wait goes on meanwhile
+	turns chan struct{} // in place of delay: one element for each call that may be handled; nil: not used
 
 	mu       sync.Mutex
 	seq      int64
@@ -166,12 +167,43 @@
 	d.changed = make(chan struct{})
 }
 
+// handleInTurn makes discovery handle calls one after another, each for a time, and refuse those that wait too long.
+func (d *discovery) handleInTurn(each func() time.Duration) {
+	d.turns = make(chan struct{})
+	go func() {
+		for {
+			d.turns <- struct{}{} // to the call that has waited longest
+			time.Sleep(each())
+		}
+	}()
+}
+
+// refuseAfter is how long a call waits for its turn before it is refused, as in the site file.
+const refuseAfter = 3 * time.Second
+
+// awaitTurn waits for a call's turn. It returns false if that takes too long.
+func (d *discovery) awaitTurn() bool {
+	if d.turns == nil {
+		return true
+	}
+	select {
+	case <-d.turns:
+		return true
+	case <-time.After(refuseAfter):
+		return false
+	}
+}
+
 // ServeHTTP answers a call for the list or a watch.
 func (d *discovery) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	index, err := strconv.ParseInt(r.URL.Query().Get("index"), 10, 64)
 	wait, _ := strconv.ParseInt(r.URL.Query().Get("wait"), 10, 64)
 	deadline := time.After(time.Duration(wait) * time.Millisecond)
 	time.Sleep(d.delay)
+	if !d.awaitTurn() {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
 	d.mu.Lock()
 	for err == nil && index == d.seq {
 		changed := d.changed
@@ -390,7 +422,7 @@
 
 // get returns the status of a GET; 0 if there was no answer.
 func get(address, path string) int {
-	client := http.Client{Timeout: 2 * time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
+	client := http.Client{Timeout: 5 * time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
 	resp, err := client.Get("http://" + address + path)
 	if err != nil {
 		return 0
