No job is sent by a list past its lease while discovery refuses calls

Callers of jobs that the draining workers took got 502 when these ended.

Cause: Lease.Usable (internal/decision/membership/lease.go) let a list past its lease be used for any time while the last failure was FailureBusy, a refusal after a wait. A discovery with too many callers looks so, and answers others meanwhile.

Change: once discovery has answered, only a list within its lease is used.

TestExpiredLeaseUsesWorkersThatAccept demanded sends by a stale list, which the rule forbids; TestExpiredLeaseSendsNothing takes its place, for each kind of failure, with a retry and an at-most-once job.

--- a/endpoint_lease.go
+++ b/endpoint_lease.go
@@ -2,9 +2,9 @@
 
 // Sending while the endpoint list is stale. A change of the list counts as notified some seconds after
 // discovery has it, even if it did not arrive here or this process was down. A list that may be older than
-// that is stale, and no job is sent by it unless discovery is probably down and so notifies nobody of
-// changes. Jobs then go to workers that accepted one lately. This is a guess: some draining workers accept
-// jobs too.
+// that is stale, and no job is sent by it. The exception is a list that the process was started with, before
+// discovery's first answer: after a grace jobs go to workers that accepted one lately. This is a guess: some
+// draining workers accept jobs too.
 
 import (
 	"math"
--- a/endpoint_lease_test.go
+++ b/endpoint_lease_test.go
@@ -48,19 +48,19 @@
 		{"nobody listens", []call{{second, down}}, 0, 3, true},
 		{"nobody listened, then busy", []call{{second, down}, {second, busy}}, 0, 0, false},
 		{"answered", []call{{second, confirmed}}, 0, 3, true},
-		{"answered long ago, and nothing since", []call{{second, confirmed}}, testLease, 1, true},
+		{"answered long ago, and nothing since", []call{{second, confirmed}}, testLease, 0, false},
 		{"changed, within its lease", []call{{second, confirmed}, {second, changed}}, changeLease - ms, 3, true},
-		{"changed, past it", []call{{second, confirmed}, {second, changed}}, changeLease, 1, true},
+		{"changed, past it", []call{{second, confirmed}, {second, changed}}, changeLease, 0, false},
 		{"changed, and answered", []call{{second, confirmed}, {second, changed}, {second, confirmed}}, changeLease, 3, true},
-		{"down, changed", []call{{second, confirmed}, {second, down}, {second, changed}}, changeLease, 1, true},
+		{"down, changed", []call{{second, confirmed}, {second, down}, {second, changed}}, changeLease, 0, false},
 		{"busy, within the lease", []call{{second, confirmed}, {second, busy}}, testLease - second - ms, 3, true},
-		{"busy, past it", []call{{second, confirmed}, {second, busy}}, testLease - second, 1, true},
+		{"busy, past it", []call{{second, confirmed}, {second, busy}}, testLease - second, 0, false},
 		{"invalid, within the lease", []call{{second, confirmed}, {second, invalid}}, testLease - second - ms, 3, true},
 		{"invalid, past it", []call{{second, confirmed}, {second, invalid}}, testLease - second, 0, false},
 		{"invalid, busy, past it", []call{{second, confirmed}, {second, invalid}, {second, busy}}, 10 * second, 0, false},
 		{"unanswered, within the lease", []call{{second, confirmed}, {second, unanswered}}, testLease - second - ms, 3, true},
 		{"unanswered, past it", []call{{second, confirmed}, {second, unanswered}}, testLease - second, 0, false},
-		{"unanswered, busy, past it", []call{{second, confirmed}, {second, unanswered}, {second, busy}}, testLease, 1, true},
+		{"unanswered, busy, past it", []call{{second, confirmed}, {second, unanswered}, {second, busy}}, testLease, 0, false},
 		{"never answered, unanswered", []call{{second, unanswered}}, grace, 1, true},
 		{"down, past it", []call{{second, confirmed}, {second, down}}, 10 * second, 3, true},
 		{"answered again", []call{{second, confirmed}, {10 * second, invalid}, {second, confirmed}}, 0, 3, true},
@@ -80,36 +80,31 @@
 	}
 }
 
-// After the lease has expired, jobs must go to workers that accepted one within the lease, and not to a worker
-// that rejected one. A confirmed list lifts the restriction.
-func TestExpiredLeaseUsesWorkersThatAccept(t *testing.T) {
-	h := newHarness(t, leaseConfig(), testWorkers(9)...)
-	h.step(pollEvent(EndpointsConfirmed, 0))
-	h.advance(second, pollEvent(EndpointsPollFailed, FailureBusy))
-	h.advance(testLease - 2*second)
-	h.step(h.request(1, idempotent))
-	w := h.wantActions(ActionSend, 1)[0].Worker
-	h.advance(50*ms, started(1, 0, w), outcome(1, 0, w, Served))
-	h.advance(2 * second)
-	h.step(h.request(2, idempotent))
-	if got := h.wantActions(ActionSend, 1)[0].Worker; got != w {
-		t.Errorf("job 2 sent to %s, want %s, the only worker that accepted a job", got, w)
-	}
-	h.advance(50*ms, outcome(2, 0, w, Saturated))
-	retries := h.actionsOf(ActionSend)
-	h.advance(second)
-	h.step(h.request(3, idempotent))
-	for _, a := range append(retries, h.actionsOf(ActionSend)...) {
-		if a.Worker == w {
-			t.Errorf("job %d sent to %s, which rejected a job", a.ID, w)
+// After the lease has expired no attempt may begin, not even at a worker that accepted a job within the lease,
+// whatever the failures of the polls show: the worker may be draining. Otherwise jobs are lost with workers that
+// drain while discovery has too many callers.
+func TestExpiredLeaseSendsNothing(t *testing.T) {
+	for _, failure := range []PollFailure{FailureBusy, FailureUnanswered, FailureInvalid} {
+		h := newHarness(t, leaseConfig(), testWorkers(9)...)
+		h.step(pollEvent(EndpointsConfirmed, 0))
+		h.advance(second, pollEvent(EndpointsPollFailed, failure))
+		h.advance(testLease - 2*second)
+		h.step(h.request(1, idempotent))
+		w := h.wantActions(ActionSend, 1)[0].Worker
+		h.advance(50*ms, started(1, 0, w), outcome(1, 0, w, Served))
+		h.step(h.request(2, idempotent))
+		unreachable := h.wantActions(ActionSend, 1)[0].Worker
+		h.advance(second, outcome(2, 0, unreachable, Unreachable)) // a retry is due
+		h.wantActions(ActionSend, 0)
+		h.advance(second, pollEvent(EndpointsPollFailed, failure), h.request(3, idempotent), h.request(4, atMostOnce))
+		h.wantActions(ActionSend, 0)
+		h.step(pollEvent(EndpointsConfirmed, 0))
+		h.advance(100 * ms)
+		h.step(h.request(5, idempotent))
+		if len(h.actionsOf(ActionSend)) == 0 {
+			t.Errorf("failure %d: no job is sent after the list was confirmed", failure)
 		}
 	}
-	h.step(pollEvent(EndpointsConfirmed, 0))
-	h.advance(100 * ms)
-	h.step(h.request(4, idempotent))
-	if len(h.actionsOf(ActionSend)) == 0 {
-		t.Error("job 4 is not sent after the list was confirmed")
-	}
 }
 
 // A worker's acceptance must count from the time of the send: the worker may have begun to drain after that.
--- a/internal/decision/membership/lease.go
+++ b/internal/decision/membership/lease.go
@@ -3,8 +3,8 @@
 // caller passes the time, in nanoseconds on the dispatcher's clock, and the source of randomness.
 //
 // A change of the list counts as notified some seconds after discovery has it, even if it did not arrive
-// here or this process was down. A list that may be older than that is stale, and no job is sent by it unless
-// discovery is probably down and so notifies nobody of changes.
+// here or this process was down. A list that may be older than that is stale, and no job is sent by it: a
+// discovery that answers no call of this process may be down, but may as well answer the calls of others.
 package membership
 
 // A PollFailure says what a failed poll shows about discovery.
@@ -37,7 +37,7 @@
 	duration    int64       // age at which the list becomes stale; 0: never
 	confirmed   bool        // a poll was answered since the start
 	confirmedAt int64       // time of the last answer; before the first one, of the start; see ChangeDiscovery
-	failure     PollFailure // of the polls since then; FailureBusy before any, which leaves the list usable
+	failure     PollFailure // of the polls since then; FailureBusy before any
 	exploredAt  int64       // last send to an unproven worker while the list was stale; 0: never
 }
 
@@ -75,15 +75,12 @@
 	return l.duration == 0 || l.failure == FailureDown || l.confirmed && now-l.confirmedAt < l.duration
 }
 
-// Usable reports whether jobs may be sent with the current list, if only to some workers. A list that is not
-// fresh is usable while the last failure is FailureBusy or none; before the first answer it is usable after
-// CachedEndpointsGrace, unless a poll failed with FailureInvalid.
+// Usable reports whether jobs may be sent with the current list, if only to some workers. Once discovery has
+// answered, only a fresh list is usable: a discovery that refuses this process may notify others. Before the
+// first answer the list is usable after CachedEndpointsGrace, unless a poll failed with FailureInvalid.
 func (l *Lease) Usable(now int64) bool {
-	switch {
-	case l.Fresh(now):
-		return true
-	case l.confirmed:
-		return l.failure == FailureBusy
+	if l.confirmed || l.Fresh(now) {
+		return l.Fresh(now)
 	}
 	return l.failure != FailureInvalid && now-l.confirmedAt >= CachedEndpointsGrace
 }
--- a/internal/pollpacing/pacer.go
+++ b/internal/pollpacing/pacer.go
@@ -36,9 +36,8 @@
 //	refused after w in the queue, at most 3 s:  w + (4.45 s - w) + ...    = 6.0 s
 //	no connection, at once or after 1 s:      1 s + 3.45 s       + ...    = 6.0 s
 //
-// Repeatedly refused calls can exceed the bound: a scheduler cannot distinguish then whether discovery has
-// too many callers or is down. Sending no jobs on the basis of a list of that age would lose more jobs than
-// it saves (docs/design/moments.md).
+// Calls that fail one after another can exceed the bound. The list is then past its lease, and no job is sent by it
+// (package membership).
 const (
 	// MaxPropagationDelay is the maximum time from a change at discovery until this scheduler applies it.
 	MaxPropagationDelay = 6 * time.Second
