The list that a process starts with is not used before discovery answers

Seen: a process that is killed and started again while discovery refuses its calls sends jobs by its old list from 5 s on (fleet TestRestartWhileDiscoveryRefusesCalls on: draining workers get requests past the latest time). Callers of these jobs lose them when the workers end.

Cause: Lease.Usable let a list whose age nobody knows be used after CachedEndpointsGrace, for workers that had accepted a job and one other a second (pickAccepting, explore).

Change: before the first answer the list counts as stale, unless nobody listens at discovery's address. pickAccepting and explore go. A process that takes over inherits what is left of its predecessor's lease, which the saved list now tells (FreshFor), so that an upgrade does not stop the service while discovery is silent. Readiness is as before (5 s).

--- a/api.go
+++ b/api.go
@@ -114,7 +114,7 @@
 
 	PollEndpoints   bool  // the endpoint list must be polled; it is not pushed
 	MaxPollInterval int64 // longest time between polls; bounds the backoff after failures
-	EndpointLease   int64 // maximum age of the endpoint list while discovery answers other clients; 0: no maximum
+	EndpointLease   int64 // maximum age of the endpoint list by which jobs are sent; 0: no maximum
 
 	MayCancel      bool  // the host can cancel attempts
 	MayHealthCheck bool  // the host can ask a worker for its load
@@ -244,6 +244,7 @@
 	EndpointsPollFailed                       // a poll failed or the watch broke; no entries; see Event.PollFailure
 	EndpointsConfirmed                        // discovery answered that the list is up to date; no entries
 	DiscoveryChanged                          // another discovery must be polled from now on; no entries
+	EndpointsInherited                        // the list is the predecessor's; no entries; see Event.EndpointsFreshFor
 )
 
 // A Request is a client's request for one job.
@@ -287,7 +288,7 @@
 // The kinds of events, with the fields that are set.
 const (
 	EventRequest            EventKind = iota // Request
-	EventEndpoints                           // EndpointUpdate, PollFailure, Workers
+	EventEndpoints                           // EndpointUpdate, PollFailure, EndpointsFreshFor, Workers
 	EventStarted                             // ID, Attempt, Stream: the job runs, or with Stream its stream flows
 	EventProgress                            // ID, Attempt: the job makes progress
 	EventOutcome                             // ID, Attempt, Worker, Code, Took, Ended, HasLoad, Load
@@ -314,10 +315,13 @@
 	Token          uint64
 	EndpointUpdate EndpointUpdate
 	PollFailure    PollFailure // set if EndpointUpdate is EndpointsPollFailed
-	Workers        []Worker
-	From           int // index of the peer that sent the message
-	Data           []byte
-	Quotas         []float64 // one for each tenant
+	// EndpointsFreshFor is the predecessor's Dispatcher.EndpointsFreshFor, if EndpointUpdate is
+	// EndpointsInherited; in nanoseconds.
+	EndpointsFreshFor int64
+	Workers           []Worker
+	From              int // index of the peer that sent the message
+	Data              []byte
+	Quotas            []float64 // one for each tenant
 }
 
 // An ActionKind is the kind of an Action. It determines which fields of the Action are set.
--- a/attempts.go
+++ b/attempts.go
@@ -115,7 +115,6 @@
 		return
 	}
 	a.startedAt = d.now
-	d.recordAccepted(a)
 	d.clearUnstarted(a)
 	a.job.stream = a.job.stream || e.Stream
 	d.recordStart(a)
--- a/endpoints.go
+++ b/endpoints.go
@@ -17,6 +17,8 @@
 	switch e.EndpointUpdate {
 	case EndpointsConfirmed:
 		d.endpoints.lease.Confirm(d.now)
+	case EndpointsInherited:
+		d.endpoints.lease.Inherit(d.now, e.EndpointsFreshFor)
 	case DiscoveryChanged:
 		d.endpoints.lease.ChangeDiscovery(d.now)
 	case EndpointsPollFailed:
@@ -67,9 +69,9 @@
 	d.indexWorker(w)
 }
 
-// resetWorker discards the state learned from a worker's former process, except its total slots, its count of
-// rejections and acceptedAt. The new process started at startedAt; the first send to it is delayed if it is
-// in slow start.
+// resetWorker discards the state learned from a worker's former process, except its total slots and its count
+// of rejections. The new process started at startedAt; the first send to it is delayed if it is in slow
+// start.
 func (d *Dispatcher) resetWorker(w *worker, startedAt int64) {
 	w.outlier.Reset()
 	w.warmup.Restart(startedAt)
--- a/health.go
+++ b/health.go
@@ -66,7 +66,6 @@
 	case Served:
 		d.recordServed(a, e.Took)
 	case Saturated:
-		w.acceptedAt = 0 // the worker may be draining
 		d.adjustCapacity(w, true)
 		d.backoffWorker(w, j)
 	case Unreachable:
@@ -99,7 +98,6 @@
 // running time if no start was reported.
 func (d *Dispatcher) recordServed(a *attempt, took int64) {
 	w, j := a.worker, a.job
-	d.recordAccepted(a)
 	if a.startedAt != 0 {
 		took = max(1, d.now-a.startedAt)
 	}
--- a/internal/core/endpoints.go
+++ b/internal/core/endpoints.go
@@ -1,6 +1,10 @@
 package core
 
-import "github.com/vatu-meals/foxlift"
+import (
+	"time"
+
+	"github.com/vatu-meals/foxlift"
+)
 
 // UpdateEndpoints reports an update of the endpoint list from discovery. With the kind EndpointsDelta workers
 // holds only the changed workers, otherwise the complete list. It returns before the update is applied: the
@@ -24,11 +28,18 @@
 	c.loop.post(endpointsUpdated{kind: foxlift.EndpointsPollFailed, failure: failure})
 }
 
+// InheritEndpoints reports that the endpoint list is the predecessor's, and for how long that process might still
+// send jobs by it. Nothing follows from that once discovery has answered this process.
+func (c *Core) InheritEndpoints(freshFor time.Duration) {
+	c.loop.post(endpointsUpdated{kind: foxlift.EndpointsInherited, freshFor: freshFor})
+}
+
 // An endpointsUpdated event is an update of the endpoint list or the result of a poll for it.
 type endpointsUpdated struct {
-	kind    foxlift.EndpointUpdate
-	failure foxlift.PollFailure // if kind is EndpointsPollFailed
-	workers []foxlift.Worker    // the list or its changes; nil for kinds without workers
+	kind     foxlift.EndpointUpdate
+	failure  foxlift.PollFailure // if kind is EndpointsPollFailed
+	freshFor time.Duration       // if kind is EndpointsInherited
+	workers  []foxlift.Worker    // the list or its changes; nil for kinds without workers
 }
 
 func (e endpointsUpdated) apply(c *Core) {
@@ -40,6 +51,10 @@
 		})
 	case foxlift.EndpointsConfirmed:
 		c.recordConfirmation()
+	case foxlift.EndpointsInherited:
+		c.cells.notifyAll(foxlift.Event{
+			Kind: foxlift.EventEndpoints, EndpointUpdate: e.kind, EndpointsFreshFor: int64(e.freshFor),
+		})
 	case foxlift.DiscoveryChanged:
 		c.cells.notifyAll(foxlift.Event{Kind: foxlift.EventEndpoints, EndpointUpdate: e.kind})
 	default:
--- a/internal/core/status.go
+++ b/internal/core/status.go
@@ -10,8 +10,8 @@
 }
 
 // Ready reports whether jobs can be accepted: the endpoint list has a live worker, and discovery has answered
-// since the start or the cached list may be used. Once discovery has answered, an expired lease does not change
-// it. Any goroutine may call it.
+// since the start or need not be awaited any longer. An expired lease does not change it: jobs are then shed.
+// Any goroutine may call it.
 func (c *Core) Ready() bool { return c.status.ready.Load() }
 
 // HasWorkers reports whether the endpoint list has a live worker, regardless of the age of the list. Any
@@ -25,7 +25,7 @@
 func (c *Core) updateReady() {
 	hasWorkers := c.workers.liveCount > 0
 	c.status.hasWorkers.Store(hasWorkers)
-	c.status.ready.Store(hasWorkers && (c.confirmed || c.cells.all[0].dispatcher.EndpointsUsable()))
+	c.status.ready.Store(hasWorkers && (c.confirmed || !c.cells.all[0].dispatcher.AwaitsEndpoints()))
 }
 
 // updateActive updates the value that Active returns.
--- a/internal/core/takeover.go
+++ b/internal/core/takeover.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/vatu-meals/foxlift"
 )
@@ -56,6 +57,14 @@
 	return s
 }
 
+// EndpointsFreshFor returns for how long jobs may still be sent by the endpoint list if discovery does not answer. It
+// returns the error of ctx if ctx ends first, and ErrShuttingDown if the core stops first.
+func (c *Core) EndpointsFreshFor(ctx context.Context) (time.Duration, error) {
+	return callOnEventLoop(ctx, c, func(c *Core) (time.Duration, error) {
+		return time.Duration(c.cells.all[0].dispatcher.EndpointsFreshFor()), nil
+	})
+}
+
 // RestoreState applies the state that a predecessor handed over; a cell that the state does not name keeps its
 // own. It must be called before the first job. It returns the error of ctx if ctx ends first, and ErrShuttingDown
 // if the core stops first.
--- a/internal/daemon/takeover.go
+++ b/internal/daemon/takeover.go
@@ -183,8 +183,13 @@
 	if err != nil {
 		return err
 	}
+	freshFor, err := d.Core.EndpointsFreshFor(ctx) // before the snapshot, which may have later changes
+	if err != nil {
+		return err
+	}
 	saved := &handover{State: *state}
 	if endpoints, ok := d.platform.SnapshotEndpoints(); ok {
+		endpoints.FreshFor = freshFor
 		saved.Endpoints = endpoints
 	}
 	return d.takeover.lock.SaveState(saved)
--- a/internal/decision/membership/lease.go
+++ b/internal/decision/membership/lease.go
@@ -21,79 +21,79 @@
 const (
 	second = int64(1e9)
 
-	// CachedEndpointsGrace is how long a new process waits for discovery's first answer before it uses the
-	// cached list that it was started with: by then discovery is most likely out of order.
-	CachedEndpointsGrace = 5 * second
+	// FirstAnswerGrace is how long a new process waits for discovery's first answer before it is ready without
+	// one: by then discovery is most likely out of order.
+	FirstAnswerGrace = 5 * second
 
 	// DiscoveryChangeLease is how long the list stays fresh, at most, after the configuration names another
 	// discovery: from then on the changes that the new one has count as notified.
 	DiscoveryChangeLease = 4 * second
-
-	exploreInterval = second // between sends to unproven workers while the list is stale
 )
 
 // A Lease tracks the age of the endpoint list by the results of the polls.
 type Lease struct {
-	duration    int64       // age at which the list becomes stale; 0: never
-	confirmed   bool        // a poll was answered since the start
-	confirmedAt int64       // time of the last answer; before the first one, of the start; see ChangeDiscovery
-	failure     PollFailure // of the polls since then; FailureBusy before any
-	exploredAt  int64       // last send to an unproven worker while the list was stale; 0: never
+	duration  int64 // age at which the list becomes stale; 0: never
+	startedAt int64 // time of the start of the process
+	expiresAt int64 // time at which the list becomes stale unless discovery is down; 0: no answer is known
+	confirmed bool  // a poll was answered since the start
+	down      bool  // FailureDown was recorded since the last answer, and no other failure after it
+	invalid   bool  // FailureInvalid was recorded since the last answer, and no FailureDown after it
 }
 
 // NewLease returns the lease of a list that becomes stale at the age of duration, in nanoseconds, unless
 // discovery is down; with a duration of 0 it never becomes stale.
 func NewLease(duration int64) Lease { return Lease{duration: duration} }
 
-// Start records the start of the process.
-func (l *Lease) Start(now int64) { l.confirmedAt = now }
+// Start records the start of the process. The age of the list that it starts with is not known, so the list
+// is stale unless discovery is down.
+func (l *Lease) Start(now int64) { l.startedAt = now }
 
 // Confirm records an answer of discovery: the list is up to date, and all earlier failures are cleared.
 func (l *Lease) Confirm(now int64) {
-	*l = Lease{duration: l.duration, confirmed: true, confirmedAt: now}
+	*l = Lease{duration: l.duration, startedAt: l.startedAt, confirmed: true, expiresAt: now + l.duration}
+}
+
+// Inherit records that the list is that of the process which this one takes over from, and that it stays
+// fresh there for remaining nanoseconds. It has no effect once discovery has answered this process.
+func (l *Lease) Inherit(now, remaining int64) {
+	if !l.confirmed && remaining > 0 {
+		l.expiresAt = max(l.expiresAt, now+min(remaining, l.duration))
+	}
 }
 
 // RecordFailure records a failed poll. FailureInvalid, which shows that discovery can be reached, stays
 // recorded until discovery answers or is changed, unless nothing listens there any more (FailureDown).
 func (l *Lease) RecordFailure(f PollFailure) {
-	if l.failure != FailureInvalid || f == FailureDown {
-		l.failure = f
-	}
+	l.down = f == FailureDown
+	l.invalid = !l.down && (l.invalid || f == FailureInvalid)
 }
 
 // ChangeDiscovery records that another discovery was configured, which has not answered yet. Unless the lease
 // never ends, the list stays fresh for at most DiscoveryChangeLease from now on. Earlier failures are
 // cleared.
 func (l *Lease) ChangeDiscovery(now int64) {
-	l.failure = FailureBusy
-	l.confirmedAt = min(l.confirmedAt, now-l.duration+DiscoveryChangeLease)
+	l.down, l.invalid = false, false
+	l.expiresAt = min(l.expiresAt, now+DiscoveryChangeLease)
 }
 
-// Fresh reports whether the list has every change that counts as notified, so that it can be relied on: the
-// lease never ends, discovery is down, or it answered less than the lease's duration ago.
-func (l *Lease) Fresh(now int64) bool {
-	return l.duration == 0 || l.failure == FailureDown || l.confirmed && now-l.confirmedAt < l.duration
-}
+// Fresh reports whether the list has every change that counts as notified, so that jobs may be sent by it:
+// the lease never ends, discovery is down, or it answered less than the lease's duration ago.
+func (l *Lease) Fresh(now int64) bool { return l.duration == 0 || l.down || now < l.expiresAt }
 
-// Usable reports whether jobs may be sent with the current list, if only to some workers. Once discovery has
-// answered, only a fresh list is usable: a discovery that refuses this process may notify others. Before the
-// first answer the list is usable after CachedEndpointsGrace, unless a poll failed with FailureInvalid.
-func (l *Lease) Usable(now int64) bool {
-	if l.confirmed || l.Fresh(now) {
-		return l.Fresh(now)
+// Remaining returns for how many nanoseconds the list stays fresh if discovery does not answer; 0 if it is
+// stale, or the lease never ends.
+func (l *Lease) Remaining(now int64) int64 {
+	if l.duration == 0 || !l.Fresh(now) {
+		return 0
+	}
+	if l.down {
+		return l.duration
 	}
-	return l.failure != FailureInvalid && now-l.confirmedAt >= CachedEndpointsGrace
+	return l.expiresAt - now
 }
 
-// Covers reports whether an observation made at a time is recent enough to rely on: younger than the duration
-// of the lease, which nothing is if the duration is 0.
-func (l *Lease) Covers(at, now int64) bool { return now-at < l.duration }
-
-// MayExplore reports whether an unproven worker may be tried now while the list is stale: at most one a
-// second.
-func (l *Lease) MayExplore(now int64) bool {
-	return l.exploredAt == 0 || now-l.exploredAt >= exploreInterval
+// AwaitsFirstAnswer reports whether the process should wait for an answer of discovery before it is ready:
+// the list is stale, and FirstAnswerGrace is not over or discovery runs (FailureInvalid).
+func (l *Lease) AwaitsFirstAnswer(now int64) bool {
+	return !l.confirmed && !l.Fresh(now) && (l.invalid || now-l.startedAt < FirstAnswerGrace)
 }
-
-// RecordExplored records that an unproven worker is tried now.
-func (l *Lease) RecordExplored(now int64) { l.exploredAt = now }
--- a/internal/lab/fleet/helpers_test.go
+++ b/internal/lab/fleet/helpers_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"os"
+	"sync"
 	"testing"
 	"time"
 
@@ -120,6 +121,30 @@
 	stopAndCheck(t, f, load, sum)
 }
 
+// checkRefuses sends five jobs of each class to each of the processes, and checks that all are shed.
+func checkRefuses(t *testing.T, f *Fleet, processes ...*Process) {
+	t.Helper()
+	const jobs = 5
+	var wait sync.WaitGroup
+	var clients []*standin.Client
+	for _, p := range processes {
+		for _, class := range f.Classes {
+			client := newClient(p.Addr, class, f.Tenants[0])
+			client.Name = "refused/" + class.Name + "/" + p.Name
+			clients = append(clients, client)
+			for range jobs {
+				wait.Go(func() { client.Send() })
+			}
+		}
+	}
+	wait.Wait()
+	for _, client := range clients {
+		if tally := client.TakeTally(); tally.Shed != jobs {
+			t.Errorf("%s: tally %+v, want %d jobs shed", client.Name, tally, jobs)
+		}
+	}
+}
+
 // stopAndCheck ends a load and checks that no job was lost, also not among the jobs already counted in
 // sum; then it checks the invariants.
 func stopAndCheck(t *testing.T, f *Fleet, load *Load, sum standin.Tally) {
--- a/internal/lab/fleet/lease_test.go
+++ b/internal/lab/fleet/lease_test.go
@@ -34,6 +34,28 @@
 	stopAndCheck(t, f, load, sum)
 }
 
+// A scheduler is killed, workers begin to drain while it is down, and it starts again with its old cached list while
+// discovery refuses calls after a wait. These workers must receive nothing, however long discovery gives no answer.
+func TestRestartWhileDiscoveryRefusesCalls(t *testing.T) {
+	t.Parallel()
+	f := newSmallFleet(t, 1, nil)
+	must(t, f.StartAll(20*time.Second))
+	awaitEndpoints(t, f, f.Processes...)
+	f.Processes[0].Kill()
+	f.Discovery.CorruptResponses(standin.UnavailableLate)
+	draining := f.Workers()[:4]
+	must(t, f.StartAll(20*time.Second))
+	load := f.StartLoad("restarted", 50, 3)
+	checkNothingAfterDrain(t, f, draining)
+	f.Discovery.CorruptResponses(standin.NoCorruption)
+	sum := standin.Tally{}
+	await(t, "jobs are served by the current list", func() bool {
+		sum = standin.Total(sum, load.ResetTally())
+		return sum.Served > 0
+	})
+	stopAndCheck(t, f, load, sum)
+}
+
 // checkNothingAfterDrain announces that workers drain, which discovery does not report to the schedulers, and
 // checks that the workers, which go on accepting jobs, receive none for 2 s after the schedulers count as notified.
 func checkNothingAfterDrain(t *testing.T, f *Fleet, draining []*standin.Worker) {
--- a/internal/platform/adopted_endpoints.go
+++ b/internal/platform/adopted_endpoints.go
@@ -1,6 +1,10 @@
 package platform
 
-import "github.com/vatu-meals/foxlift"
+import (
+	"time"
+
+	"github.com/vatu-meals/foxlift"
+)
 
 // AdoptEndpoints applies the endpoint list that another process of this scheduler has from discovery, as a cached list,
 // unless discovery has answered this process or the list is not newer. The list of another discovery than the one that
@@ -17,6 +21,9 @@
 	default:
 		p.cachedWorkers = workers
 	}
+	if p.endpoints.hasAdopted(snapshot) {
+		p.core.InheritEndpoints(snapshot.FreshFor - time.Since(snapshot.TakenAt).Abs())
+	}
 	return nil
 }
 
@@ -37,3 +44,11 @@
 	w.needComplete = !sameDiscovery // versions of different discoveries cannot be compared
 	return workers, nil
 }
+
+// hasAdopted reports whether the table is the list of a snapshot, which the discovery that is polled has confirmed to
+// another process, and to this one nothing yet.
+func (w *endpointWatch) hasAdopted(snapshot *EndpointSnapshot) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return !w.answered && !w.switched && snapshot.Discovery == w.discovery && snapshot.Version == w.table.version
+}
--- a/internal/platform/endpoint_snapshot.go
+++ b/internal/platform/endpoint_snapshot.go
@@ -16,6 +16,9 @@
 	Discovery string          `json:"Discovery"` // address of the discovery that assigned the version
 	Version   int64           `json:"Version"`   // version of the list
 	Endpoints json.RawMessage `json:"List"`      // the list, in the format of a response of discovery
+
+	// FreshFor is for how long after TakenAt jobs may be sent by the list if discovery does not answer; 0: not known.
+	FreshFor time.Duration `json:"FreshFor,omitempty"`
 }
 
 // healthNames maps worker states to their names in discovery's protocol.
--- a/state.go
+++ b/state.go
@@ -77,13 +77,11 @@
 	keyLog affinity.KeyLog // keys of the last jobs
 }
 
-// An endpointState holds the schedule of polls for the endpoint list, its lease, and the workers that may get
-// jobs while it is stale.
+// An endpointState holds the schedule of polls for the endpoint list, and its lease.
 type endpointState struct {
-	poll      membership.PollSchedule
-	lease     membership.Lease
-	events    int64     // number of endpoint events that carried a list or a change
-	accepting []*worker // workers that accepted a job lately, and some that did so earlier
+	poll   membership.PollSchedule
+	lease  membership.Lease
+	events int64 // number of endpoint events that carried a list or a change
 }
 
 // New returns a Dispatcher for cfg, or an error that names the invalid field of cfg. All randomness
--- a/worker_search.go
+++ b/worker_search.go
@@ -23,10 +23,10 @@
 
 // pickWorker returns the worker for a job, or nil if no worker is eligible. It chooses the least cost: the
 // worker's level, which is the slots in use there, rounded down, plus placementCost and the cost of a fetch.
-// While the endpoint list is stale it chooses among workers that accepted a job lately (pickAccepting).
+// While the endpoint list is stale no worker is eligible.
 func (d *Dispatcher) pickWorker(j *job) *worker {
-	if !d.endpoints.lease.Fresh(d.now) {
-		return d.pickAccepting(j)
+	if !d.EndpointsUsable() {
+		return nil
 	}
 	s := workerSearch{d: d, j: j, bestCost: math.Inf(1)}
 	if j.req.Key != 0 && (d.manyDispatchers() || d.cfg.Prices.Fetch > 0) {
--- a/workers.go
+++ b/workers.go
@@ -30,8 +30,6 @@
 	outlier      health.Outlier
 	warmup       health.Warmup
 	latencyRatio float64 // moving mean of its running times over the class medians; 0: none yet
-	acceptedAt   int64   // send time of the last attempt that it accepted; 0: none
-	accepting    bool    // in endpointState.accepting
 
 	cachedKeys affinity.CachedKeys   // affinity keys of the last jobs sent there
 	affinity   affinity.Registration // entry in affinityState.index
