Discovery that is down renews only the lease of a fresh endpoint list

Cause: Lease.Fresh (internal/decision/membership/lease.go) took the last failure FailureDown alone as enough. Nobody is notified while nobody listens, but a stale list may lack what came before.

Change: a refused connection renews the lease if the list is fresh then (or nothing has shown since the start that discovery runs), and not after SIGHUP before the new discovery has answered. It holds for a lease's duration after the last refusal.

Tests: rows of TestLease and TestEndpointLease that took any list as fresh while nobody listens now tell both cases.

--- a/endpoint_lease_test.go
+++ b/endpoint_lease_test.go
@@ -47,7 +47,8 @@
 		{"never answered, invalid", []call{{second, invalid}}, 10 * second, 0, false},
 		{"never answered, invalid and then busy", []call{{second, invalid}, {second, busy}}, 10 * second, 0, false},
 		{"nobody listens", []call{{second, down}}, 0, 3, true},
-		{"nobody listened, then busy", []call{{second, down}, {second, busy}}, 0, 0, false},
+		{"nobody listened, then busy", []call{{second, down}, {second, busy}}, testLease - second - ms, 3, true},
+		{"nobody listened, then busy, past it", []call{{second, down}, {second, busy}}, testLease - second, 0, false},
 		{"answered", []call{{second, confirmed}}, 0, 3, true},
 		{"answered long ago, and nothing since", []call{{second, confirmed}}, testLease, 0, false},
 		{"changed, within its lease", []call{{second, confirmed}, {second, changed}}, changeLease - ms, 3, true},
@@ -65,8 +66,10 @@
 		{"never answered, unanswered", []call{{second, unanswered}}, grace, 0, false},
 		{"inherited", []call{{0, inherited}}, second - ms, 3, true},
 		{"inherited, past it", []call{{0, inherited}}, second, 0, false},
-		{"inherited, then down", []call{{0, inherited}, {0, down}}, 10 * second, 3, true},
-		{"down, past it", []call{{second, confirmed}, {second, down}}, 10 * second, 3, true},
+		{"inherited, then down", []call{{0, inherited}, {0, down}}, testLease - ms, 3, true},
+		{"down again and again", []call{{second, confirmed}, {5 * second, down}, {5 * second, down}}, testLease - ms, 3, true},
+		{"down, and nothing since", []call{{second, confirmed}, {second, down}}, testLease, 0, false},
+		{"stale, then down", []call{{second, confirmed}, {testLease, busy}, {second, down}}, 0, 0, false},
 		{"answered again", []call{{second, confirmed}, {10 * second, invalid}, {second, confirmed}}, 0, 3, true},
 	} {
 		t.Run(c.name, func(t *testing.T) {
--- a/endpoints.go
+++ b/endpoints.go
@@ -22,7 +22,7 @@
 	case DiscoveryChanged:
 		d.endpoints.lease.ChangeDiscovery(d.now)
 	case EndpointsPollFailed:
-		d.endpoints.lease.RecordFailure(e.PollFailure)
+		d.endpoints.lease.RecordFailure(d.now, e.PollFailure)
 		d.endpoints.poll.Fail(d.now, d.rng)
 	default:
 		d.endpoints.poll.Succeed()
--- a/internal/decision/membership/lease.go
+++ b/internal/decision/membership/lease.go
@@ -34,9 +34,10 @@
 type Lease struct {
 	duration  int64 // age at which the list becomes stale; 0: never
 	startedAt int64 // time of the start of the process
-	expiresAt int64 // time at which the list becomes stale unless discovery is down; 0: no answer is known
+	expiresAt int64 // time at which the list becomes stale
 	confirmed bool  // a poll was answered since the start
-	down      bool  // FailureDown was recorded since the last answer, and no other failure after it
+	changed   bool  // another discovery was configured since the last answer
+	reached   bool  // a poll since the last answer failed in a way that shows that discovery may run
 	invalid   bool  // FailureInvalid was recorded since the last answer, and no FailureDown after it
 }
 
@@ -62,34 +63,43 @@
 }
 
 // RecordFailure records a failed poll. FailureInvalid, which shows that discovery can be reached, stays
-// recorded until discovery answers or is changed, unless nothing listens there any more (FailureDown).
-func (l *Lease) RecordFailure(f PollFailure) {
-	l.down = f == FailureDown
-	l.invalid = !l.down && (l.invalid || f == FailureInvalid)
+// recorded until discovery answers or is changed, unless nothing listens there any more (FailureDown). That
+// renews the lease of a list that is fresh, since the time from a change to its notification begins when
+// discovery is back; a stale list stays stale, since it may lack changes from before the outage.
+func (l *Lease) RecordFailure(now int64, f PollFailure) {
+	if f != FailureDown {
+		l.reached = true
+		l.invalid = l.invalid || f == FailureInvalid
+		return
+	}
+	l.invalid = false
+	if !l.changed && (l.Fresh(now) || l.onlyKnownDown()) {
+		l.expiresAt = now + l.duration
+	}
 }
 
+// onlyKnownDown reports whether nothing has shown since the start that discovery may run.
+func (l *Lease) onlyKnownDown() bool { return !l.confirmed && !l.reached }
+
 // ChangeDiscovery records that another discovery was configured, which has not answered yet. Unless the lease
-// never ends, the list stays fresh for at most DiscoveryChangeLease from now on. Earlier failures are
-// cleared.
+// never ends, the list stays fresh for at most DiscoveryChangeLease from now on, whatever the failures of the
+// new discovery show. Earlier failures are cleared.
 func (l *Lease) ChangeDiscovery(now int64) {
-	l.down, l.invalid = false, false
+	l.changed, l.invalid = true, false
 	l.expiresAt = min(l.expiresAt, now+DiscoveryChangeLease)
 }
 
 // Fresh reports whether the list has every change that counts as notified, so that jobs may be sent by it:
-// the lease never ends, discovery is down, or it answered less than the lease's duration ago.
-func (l *Lease) Fresh(now int64) bool { return l.duration == 0 || l.down || now < l.expiresAt }
+// the lease never ends, or discovery answered, or was down, less than the lease's duration ago.
+func (l *Lease) Fresh(now int64) bool { return l.duration == 0 || now < l.expiresAt }
 
 // Remaining returns for how many nanoseconds the list stays fresh if discovery does not answer; 0 if it is
 // stale, or the lease never ends.
 func (l *Lease) Remaining(now int64) int64 {
-	if l.duration == 0 || !l.Fresh(now) {
+	if l.duration == 0 {
 		return 0
 	}
-	if l.down {
-		return l.duration
-	}
-	return l.expiresAt - now
+	return max(0, l.expiresAt-now)
 }
 
 // AwaitsFirstAnswer reports whether the process should wait for an answer of discovery before it is ready:
--- a/internal/decision/membership/lease_test.go
+++ b/internal/decision/membership/lease_test.go
@@ -14,7 +14,7 @@
 	confirm := func(after int64) call { return call{after, (*Lease).Confirm} }
 	change := func(after int64) call { return call{after, (*Lease).ChangeDiscovery} }
 	fail := func(after int64, f PollFailure) call {
-		return call{after, func(l *Lease, _ int64) { l.RecordFailure(f) }}
+		return call{after, func(l *Lease, now int64) { l.RecordFailure(now, f) }}
 	}
 	inherit := func(remaining int64) call {
 		return call{0, func(l *Lease, now int64) { l.Inherit(now, remaining) }}
@@ -30,8 +30,14 @@
 		{"never answered", nil, FirstAnswerGrace, false, false},
 		{"never answered, invalid", []call{fail(second, FailureInvalid)}, 10 * second, false, true},
 		{"invalid and then busy", []call{fail(0, FailureInvalid), fail(0, FailureBusy)}, 10 * second, false, true},
-		{"invalid and then down", []call{fail(0, FailureInvalid), fail(0, FailureDown)}, 0, true, false},
-		{"down and then busy", []call{fail(0, FailureDown), fail(0, FailureBusy)}, 0, false, true},
+		{"invalid and then down", []call{fail(0, FailureInvalid), fail(0, FailureDown)}, 0, false, true},
+		{"down and then busy", []call{fail(0, FailureDown), fail(0, FailureBusy)}, testDuration - 1, true, false},
+		{"down and then busy, past it", []call{fail(0, FailureDown), fail(0, FailureBusy)}, testDuration, false, false},
+		{"busy and then down", []call{fail(0, FailureBusy), fail(0, FailureDown)}, 0, false, true},
+		{"down since the answer", []call{confirm(0), fail(second, FailureDown), fail(testDuration-1, FailureDown)}, testDuration - 1, true, false},
+		{"down long ago", []call{confirm(0), fail(second, FailureDown)}, testDuration, false, false},
+		{"stale and then down", []call{confirm(0), fail(second, FailureBusy), fail(testDuration, FailureDown)}, 0, false, false},
+		{"changed and then down", []call{confirm(0), change(0), fail(second, FailureDown)}, DiscoveryChangeLease - second, false, false},
 		{"never answered, down", []call{fail(0, FailureDown)}, 0, true, false},
 		{"confirmed", []call{confirm(second)}, testDuration - 1, true, false},
 		{"confirmed long ago", []call{confirm(second)}, testDuration, false, false},
--- a/internal/lab/soak/mutants.go
+++ b/internal/lab/soak/mutants.go
@@ -9,8 +9,8 @@
 		Mutant: lab.Mutant{
 			Name: "a cached endpoint list is trusted at once",
 			File: "internal/decision/membership/lease.go",
-			Old:  "l.down || now < l.expiresAt",
-			New:  "l.down || !l.confirmed || now < l.expiresAt",
+			Old:  "l.duration == 0 || now < l.expiresAt",
+			New:  "!l.confirmed || now < l.expiresAt",
 		},
 	},
 	{
