A client's close is detected although data that it sent before is unread

Seen: operators reported requests sent on after their client had closed with much unread.

Cause: peerClosed (internal/platform/socket.go) peeked at the next byte, of which there is one while data is unread. The check before a send (core.Job.Ended) then took the client as connected. Ruled out: requests behind the first one are not sent (TestRequestsOfLeftClientAreNotSent passes without the change, in four orders), so it is the job in hand alone.

Change: the end is asked of the kernel by POLLRDHUP. A request whose client has gone when it has been read is answered as failed and not accepted, counted as bad.left.

--- a/internal/platform/client_conn.go
+++ b/internal/platform/client_conn.go
@@ -186,6 +186,10 @@
 	if errors.As(err, &inputErr) {
 		return c.writeReply(c.rejectInput(inputErr), closeAfter)
 	}
+	if peerClosed(c.conn) {
+		c.server.counters.Add("bad.left")
+		return c.writeReply(c.formatAnswer(core.Answer{Verdict: core.Failed, Reason: core.ReasonClientDisconnected}), true)
+	}
 	job.NoMemory = bodyDropped
 	c.server.recordRequest(c)
 	overCellLimit := !c.server.assignCell(c, job)
--- a/internal/platform/client_conn_test.go
+++ b/internal/platform/client_conn_test.go
@@ -8,6 +8,8 @@
 	"strings"
 	"testing"
 	"time"
+
+	"github.com/vatu-meals/foxlift/internal/guard"
 )
 
 // A job must reach the worker unchanged and be answered with the worker's result. Both connections must serve a second
@@ -214,3 +216,51 @@
 	})
 	check(t, "counter jobs.taken", set.Get("jobs.taken"), int64(1))
 }
+
+// A client sends many requests at once and leaves: once it has left, none of them may be sent to a worker, whether they
+// are unread in the buffer or in the socket, and whether or not the first one was sent before. Otherwise workers run
+// jobs that nobody waits for, and an id can run again when its client comes back.
+func TestRequestsOfLeftClientAreNotSent(t *testing.T) {
+	for name, c := range map[string]struct {
+		requests  int
+		firstSent bool
+	}{
+		"in the buffer, before the first is sent": {8, false},
+		"in the socket, before the first is sent": {400, false},
+		"in the buffer, after the first is sent":  {8, true},
+		"in the socket, after the first is sent":  {400, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			answerFirst := make(chan bool)
+			worker := newTestWorker(t, func(c net.Conn, r *http.Request, id string) bool {
+				<-answerFirst
+				return serveJob(c, r, id)
+			})
+			p, set := start(t, "", worker)
+			s := connect(t, p)
+			var text strings.Builder
+			for i := range c.requests {
+				text.WriteString(jobText("ratify", fmt.Sprintf("j%d", i), "19000m", ""))
+			}
+			sent := int64(0)
+			if c.firstSent {
+				s.send(t, jobText("ratify", "first", "19000m", ""))
+				await(t, "the first job is at the worker", func() bool { return worker.RequestCount.Load() == 1 })
+				sent = 1
+			}
+			s.send(t, text.String())
+			s.Close()
+			close(answerFirst)
+			await(t, "the connection has ended", func() bool {
+				p.clients.mu.Lock()
+				defer p.clients.mu.Unlock()
+				return len(p.clients.conns) == 0
+			})
+			// Without a first job, one request may be read before the close arrives.
+			if got := worker.RequestCount.Load(); got > max(sent, 1) {
+				t.Errorf("requests at the worker: %d, want at most %d", got, max(sent, 1))
+			}
+			check(t, "counter "+guard.ClientDisconnected.Counter(), set.Get(guard.ClientDisconnected.Counter()), int64(0))
+		})
+	}
+}
--- a/internal/platform/socket.go
+++ b/internal/platform/socket.go
@@ -42,16 +42,24 @@
 	return found
 }
 
-// peerClosed reports whether the other side has closed a connection or its write side, or the connection has failed. It
-// returns false while received data is unread.
+// peerClosed reports whether the other side has closed a connection or its write side, or the connection has failed,
+// also while received data is unread. It returns false as long as the end is behind data that the kernel of this host
+// has not received yet.
 func peerClosed(conn net.Conn) (closed bool) {
 	withDescriptor(conn, func(fd int) {
 		n, err := peek(fd)
-		closed = n <= 0 && !isRetryable(err)
+		closed = n <= 0 && !isRetryable(err) || n > 0 && hungUp(fd)
 	})
 	return closed
 }
 
+// hungUp reports whether the end of the other side's sending has been received, even if data before it is unread.
+func hungUp(fd int) bool {
+	events := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLRDHUP}}
+	n, err := unix.Poll(events, 0)
+	return err == nil && n > 0 && events[0].Revents&(unix.POLLRDHUP|unix.POLLHUP|unix.POLLERR) != 0
+}
+
 // hasUnsentBytes reports whether the other side's host has not yet acknowledged all written bytes.
 func hasUnsentBytes(conn net.Conn) bool {
 	unsent := 0
