The time that a request waits in the listener's backlog counts

Cause: a connection counted as new when it was accepted (serveConn in client_server.go). The crowd's connections then held descriptors for a grace of 250 ms each (freeCapacityLocked), and another 250 ms amid their 408 (close), one budget after another; ArrivedAt of a job (runJob) was the time of reading, so that its deadline, the overdue timer and the time told to a worker began then. Ruled out: the processor (0.3 of a core).

Change: TCP_INFO tells how long ago the last data came, which ages the connection and the job, above 100 ms. A job read past its deadline is shed (jobs.too_late). Evicted connections get no answer, and the grace shrinks while connections wait.

--- a/internal/core/admit.go
+++ b/internal/core/admit.go
@@ -6,9 +6,9 @@
 	"github.com/vatu-meals/foxlift"
 )
 
-// Stage 2, admit: a job is shed if the platform has no memory for it, if too many jobs are open, if its id could not
-// be kept after its answer, or if the scheduler would shut down before the job is done. Otherwise it is assigned to a
-// cell, whose dispatcher sends, queues or sheds it.
+// Stage 2, admit: a job is shed if it was read after its deadline, if the platform has no memory for it, if too many
+// jobs are open, if its id could not be kept after its answer, or if the scheduler would shut down before the job is
+// done. Otherwise it is assigned to a cell, whose dispatcher sends, queues or sheds it.
 
 const defaultRetryAfter = time.Second // retry-after time of jobs that the core sheds, if the settings allow it
 
@@ -18,9 +18,14 @@
 	return min(defaultRetryAfter, time.Duration(c.settings.Module.MaxRetryAfter))
 }
 
-// admit sheds the job or assigns it to a cell. If it sheds the job because of a shutdown, the retry-after time
-// is the longest that the settings allow.
+// admit sheds the job or assigns it to a cell. If it sheds the job because of a shutdown, or because it was read after
+// its deadline, the retry-after time is the longest that the settings allow.
 func (c *Core) admit(j *job) {
+	if j.remaining(c.clock.Now()) <= 0 {
+		c.counters.Add("jobs.too_late")
+		c.answer(j, Answer{Verdict: Shed, RetryAfter: time.Duration(c.settings.Module.MaxRetryAfter)})
+		return
+	}
 	if j.NoMemory {
 		c.counters.Add("jobs.no_memory")
 		c.answer(j, Answer{Verdict: Shed, RetryAfter: c.shedRetryAfter()})
--- a/internal/platform/client_capacity.go
+++ b/internal/platform/client_capacity.go
@@ -28,6 +28,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for {
+		_, firstRequest := s.graces()
 		stopping = s.stopAccepting.Load()
 		limit := s.budget
 		if stopping {
@@ -37,7 +38,8 @@
 		if len(s.conns) < limit {
 			break
 		}
-		recheck := time.AfterFunc(firstByteGrace, s.capacityChanged.Broadcast) // connections may have passed their grace
+		// Connections may have passed their grace by then.
+		recheck := time.AfterFunc(min(firstByteGrace, firstRequest), s.capacityChanged.Broadcast)
 		s.capacityChanged.Wait()
 		recheck.Stop()
 	}
@@ -48,12 +50,19 @@
 }
 
 // graces returns how long connections without a byte, and with an incomplete first request, are not closed to free
-// capacity. In the backlog at a shutdown, a request that was sent has arrived.
+// capacity. While connections wait in the backlog, the second is so short that the last of them is accepted within
+// backlogDrainTime, but at least minRequestGrace. In the backlog at a shutdown, a request that was sent has arrived.
 func (s *clientServer) graces() (firstByte, firstRequest time.Duration) {
 	if s.stopAccepting.Load() {
 		return 0, shutdownRequestGrace
 	}
-	return firstByteGrace, firstRequestGrace
+	pending := pendingConns(s.listener)
+	if pending == 0 {
+		return firstByteGrace, firstRequestGrace
+	}
+	budget := max(1, s.budget)
+	firstRequest = backlogDrainTime * time.Duration(budget) / time.Duration(max(budget, pending))
+	return firstByteGrace, max(firstRequest, minRequestGrace)
 }
 
 // freeOneConn frees capacity for at least one connection, if there are connections that may be closed.
@@ -68,7 +77,8 @@
 // Connections are closed in this order:
 //
 //  1. idle connections without a request after the grace for the first byte,
-//  2. connections whose first request is incomplete after the grace for the first request,
+//  2. connections whose first request is incomplete after the grace for the first request; they get no answer, which
+//     would occupy the descriptor until the client has read it,
 //  3. idle connections that sent a single request,
 //  4. idle connections that sent more requests, the longest idle first.
 //
@@ -93,6 +103,7 @@
 	for c := range s.conns {
 		if c.requests == 0 && !c.idle && time.Since(c.openedAt) > firstRequest {
 			closeIf(c, true)
+			c.evicted.Store(true)
 			c.conn.SetReadDeadline(pastDeadline)
 		}
 	}
--- a/internal/platform/client_conn.go
+++ b/internal/platform/client_conn.go
@@ -22,6 +22,7 @@
 	lingerTimeout      = 250 * time.Millisecond // for the client to read the last answer before the close
 	maxLingerBytes     = 1 << 20                // bytes read and dropped during lingerTimeout
 	floodBackoff       = time.Millisecond       // between reads of data that exceeds the size of a request head
+	maxUncountedWait   = 100 * time.Millisecond // of a request until it is read; the slack of the rules covers it
 )
 
 // pastDeadline is a time in the past. Set as the read deadline, it interrupts a blocked Read.
@@ -34,8 +35,9 @@
 	server        *clientServer
 	conn          net.Conn
 	buf           readBuffer
-	openedAt      time.Time
+	openedAt      time.Time   // when the first data arrived, or the connection was established, if accepted later
 	retired       atomic.Bool // to be closed as soon as it is idle
+	evicted       atomic.Bool // to be closed without an answer if its first request is still incomplete
 	answeredAt    time.Time   // when the last answer was written
 	answerPending bool        // a job was accepted and its answer has not been written
 
@@ -167,6 +169,9 @@
 	var inputErr *inputError
 	bodyDropped := errors.Is(err, errBodyDropped)
 	switch {
+	case errors.As(err, &inputErr) && c.evicted.Load():
+		c.server.counters.Add("bad.evicted")
+		return false
 	case errors.As(err, &inputErr):
 		// The end of an invalid request is unknown, so the connection cannot be used for another one.
 		return c.writeReply(c.rejectInput(inputErr), true)
@@ -198,12 +203,22 @@
 	return c.writeReply(c.formatAnswer(answer), closeAfter || mustClose || overCellLimit)
 }
 
+// unreadTime returns how long the last byte of a request has waited to be read, for example in the listener's backlog;
+// 0 for up to maxUncountedWait.
+func (c *clientConn) unreadTime() time.Duration {
+	if age := sinceLastInput(c.conn); age > maxUncountedWait {
+		return age
+	}
+	return 0
+}
+
 // runJob passes a job to the core and waits for its answer. mustClose reports that the connection must be closed after
 // the answer: the client has disconnected, or has sent too much data meanwhile.
 func (c *clientConn) runJob(job *core.Job) (answer core.Answer, mustClose bool) {
 	disconnected, flooded, noMemory := false, false, false
 	pending := &pendingAnswer{c, make(chan core.Answer, 1)}
-	job.Client, job.ArrivedAt = pending, c.server.clock.Now()
+	job.Client = pending
+	job.ArrivedAt = c.server.clock.Now() - int64(c.unreadTime())
 	c.server.core.Accept(job)
 	for {
 		// The deadline is reset before the answer is checked: a later answer sets a past deadline, which interrupts
--- a/internal/platform/client_server.go
+++ b/internal/platform/client_server.go
@@ -85,6 +85,8 @@
 	defaultLateRequestGrace = 100 * time.Millisecond
 	firstByteGrace          = 50 * time.Millisecond  // a well-behaved client has begun its first request by then
 	firstRequestGrace       = 250 * time.Millisecond // and has sent it completely by then
+	backlogDrainTime        = 100 * time.Millisecond // until the last connection of the backlog is accepted
+	minRequestGrace         = 20 * time.Millisecond  // firstRequestGrace while very many connections wait to be accepted
 	shutdownReserve         = 8                      // connections beyond the budget while the backlog is accepted
 	shutdownRequestGrace    = 50 * time.Millisecond  // firstRequestGrace while the backlog is accepted
 	closeBatchDivisor       = 8                      // 1/8 of the budget is closed at a time
@@ -120,7 +122,7 @@
 
 // serveConn starts serving a connection in a new goroutine.
 func (s *clientServer) serveConn(conn net.Conn) {
-	c := &clientConn{server: s, conn: conn, openedAt: time.Now()}
+	c := &clientConn{server: s, conn: conn, openedAt: time.Now().Add(-sinceLastInput(conn))}
 	c.buf = readBuffer{conn: conn, reserveSize: c.reserveBuffer}
 	c.retired.Store(s.closeIdle.Load())
 	s.mu.Lock()
@@ -149,12 +151,16 @@
 	return c.requests > 0
 }
 
-// markBusy records that a connection no longer waits for a request: a request has begun or the connection ends.
+// markBusy records that a connection no longer waits for a request: a request has begun or the connection ends. It
+// wakes accept if that waits for capacity and the request is the first one, which may have begun long ago.
 func (s *clientServer) markBusy(c *clientConn) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	c.idle = false
 	s.idle.Remove(c.idleElement)
+	if c.requests == 0 && len(s.conns) >= s.budget {
+		s.capacityChanged.Broadcast()
+	}
 }
 
 // recordRequest counts an accepted job or health check of a connection.
--- a/internal/platform/client_server_test.go
+++ b/internal/platform/client_server_test.go
@@ -8,6 +8,7 @@
 	"sync"
 	"syscall"
 	"testing"
+	"time"
 
 	"go.uber.org/zap"
 
@@ -214,3 +215,47 @@
 		s.answer(t)
 	}
 }
+
+// A request behind a crowd whose requests stopped half way must be answered in its time. The crowd must not hold its
+// connections for a grace each, one budget after another, while the request waits in the backlog.
+func TestRequestBehindStoppedCrowd(t *testing.T) {
+	const (
+		crowd     = 400
+		budget    = 10
+		remaining = 3 * time.Second
+		lateBy    = 500 * time.Millisecond // later, an answer counts as lost
+	)
+	p, _ := startWithSockets(t, 1024, "", newTestWorker(t, serveJob))
+	server := newClientServer(p.core, core.NewClock(), &counters.Set{}, zap.NewNop(), listen(t).(*net.TCPListener), budget)
+	platform := &Platform{clients: server}
+	for range crowd {
+		connect(t, platform).send(t, "POST /reading HTTP/1.1\r\nHost: app.svc\r\n")
+	}
+	sound := connect(t, platform)
+	sound.send(t, jobText("reading", "j", "3000m", ""))
+	sentAt := time.Now()
+	go server.accept()
+	r, _ := sound.answer(t)
+	check(t, "status", r.StatusCode, http.StatusOK)
+	if took := time.Since(sentAt); took > remaining+lateBy {
+		t.Errorf("answer after %v, want at most %v", took, remaining+lateBy)
+	}
+}
+
+// The time that a request waits in the backlog of the listener must count: a job that is read after its deadline must
+// be shed, and not be sent to a worker.
+func TestDeadlineCountsFromArrival(t *testing.T) {
+	worker := newTestWorker(t, serveJob)
+	p, set := start(t, "", worker)
+	server := newClientServer(p.core, core.NewClock(), &counters.Set{}, zap.NewNop(), listen(t).(*net.TCPListener), 10)
+	platform := &Platform{clients: server}
+	late := connect(t, platform)
+	sentAt := time.Now()
+	late.send(t, jobText("reading", "late", "50m", ""))
+	await(t, "the request has waited past its deadline", func() bool { return time.Since(sentAt) > 2*maxUncountedWait })
+	go server.accept()
+	r, _ := late.answer(t)
+	check(t, "status", r.StatusCode, http.StatusServiceUnavailable)
+	check(t, "counter jobs.too_late", set.Get("jobs.too_late"), int64(1))
+	check(t, "requests at the worker", worker.RequestCount.Load(), int64(0))
+}
--- a/internal/platform/socket.go
+++ b/internal/platform/socket.go
@@ -4,13 +4,14 @@
 	"errors"
 	"net"
 	"syscall"
+	"time"
 
 	"golang.org/x/sys/unix"
 )
 
 // withDescriptor calls f with the file descriptor of a connection or a listener. It does not call f if the socket has
 // no descriptor, as in some tests, or is closed; hasInput, peerClosed, hasUnsentBytes and hasPendingConn
-// return false then.
+// return false then, and sinceLastInput and pendingConns 0.
 func withDescriptor(socket any, f func(fd int)) {
 	if syscallConn, ok := socket.(syscall.Conn); ok {
 		if raw, err := syscallConn.SyscallConn(); err == nil {
@@ -60,6 +61,20 @@
 	return err == nil && n > 0 && events[0].Revents&(unix.POLLRDHUP|unix.POLLHUP|unix.POLLERR) != 0
 }
 
+// maxInputAge bounds the result of sinceLastInput.
+const maxInputAge = time.Minute
+
+// sinceLastInput returns the time since the kernel last received data on a connection, or since the connection was
+// established if it has received none; 0 if the kernel does not report it.
+func sinceLastInput(conn net.Conn) (age time.Duration) {
+	withDescriptor(conn, func(fd int) {
+		if info, err := unix.GetsockoptTCPInfo(fd, unix.IPPROTO_TCP, unix.TCP_INFO); err == nil {
+			age = min(time.Duration(info.Last_data_recv)*time.Millisecond, maxInputAge)
+		}
+	})
+	return age
+}
+
 // hasUnsentBytes reports whether the other side's host has not yet acknowledged all written bytes.
 func hasUnsentBytes(conn net.Conn) bool {
 	unsent := 0
@@ -67,6 +82,16 @@
 	return unsent > 0
 }
 
+// pendingConns returns the number of connections in the backlog of a listener; 0 if the kernel does not report it.
+func pendingConns(l net.Listener) (count int) {
+	withDescriptor(l, func(fd int) {
+		if info, err := unix.GetsockoptTCPInfo(fd, unix.IPPROTO_TCP, unix.TCP_INFO); err == nil {
+			count = int(info.Unacked) // of a listening socket, the length of its backlog
+		}
+	})
+	return count
+}
+
 // hasPendingConn reports whether the backlog of a listener holds a connection.
 func hasPendingConn(l net.Listener) (pending bool) {
 	withDescriptor(l, func(fd int) {
