New requests are read and shed while more jobs are open than the reduced budget

Cause: DivideDescriptors halves the clients' budget when another process starts; with more open jobs than half, awaitCapacity (internal/platform/client_capacity.go) accepts nothing until they end, while all new connections still come here.

Change: the limit of connections is at least the open jobs and the reserve of an eighth. It is the budget as before otherwise, since no more than seven eighths of it are open jobs then.

--- a/internal/platform/client_capacity.go
+++ b/internal/platform/client_capacity.go
@@ -19,7 +19,14 @@
 // maxOpenJobs returns the maximum number of open jobs for a connection budget. Each open job occupies a connection;
 // the remaining connections serve to read further requests and shed them. A request on a connection that only the
 // kernel has accepted would be lost unread.
-func maxOpenJobs(budget int) int { return budget - max(1, budget/spareConnsDivisor) }
+func maxOpenJobs(budget int) int { return budget - spareConns(budget) }
+
+// spareConns returns the number of connections of a budget that open jobs may not occupy.
+func spareConns(budget int) int { return max(1, budget/spareConnsDivisor) }
+
+// connLimit returns the maximum number of connections now: the budget, but at least spareConns more than there are open
+// jobs. These are more than maxOpenJobs after the budget was reduced, and new requests must be read and shed meanwhile.
+func (s *clientServer) connLimit() int { return max(s.budget, s.core.Active()+spareConns(s.budget)) }
 
 // awaitCapacity waits until the budget allows another connection. It starts to close idle connections before the
 // budget is used up. During shutdown, when only the connections that the kernel has already accepted remain to be
@@ -30,7 +37,7 @@
 	for {
 		_, firstRequest := s.graces()
 		stopping = s.stopAccepting.Load()
-		limit := s.budget
+		limit := s.connLimit()
 		if stopping {
 			limit += shutdownReserve
 		}
--- a/internal/platform/client_server_test.go
+++ b/internal/platform/client_server_test.go
@@ -259,3 +259,26 @@
 	check(t, "counter jobs.too_late", set.Get("jobs.too_late"), int64(1))
 	check(t, "requests at the worker", worker.RequestCount.Load(), int64(0))
 }
+
+// After the budget was reduced below the number of open jobs, as at the start of an upgrade, a new request must be read
+// and shed. It must not wait unread until some of these jobs have ended.
+func TestRequestIsReadAfterBudgetWasReduced(t *testing.T) {
+	const jobs, reduced = 6, 3
+	worker := newTestWorker(t, neverAnswers)
+	p, _ := start(t, "", worker)
+	for i := range jobs {
+		connect(t, p).send(t, jobText("ratify", fmt.Sprint("j", i), "19000m", ""))
+	}
+	await(t, "all jobs are open", func() bool { return p.core.Active() == jobs })
+	p.clients.setBudget(reduced)
+	p.core.SetMaxOpen(maxOpenJobs(reduced))
+	for i := range reduced {
+		s := connect(t, p)
+		sentAt := time.Now()
+		r, _ := s.request(t, jobText("reading", fmt.Sprint("new", i), "1000m", ""))
+		check(t, "status", r.StatusCode, http.StatusServiceUnavailable)
+		if took, limit := time.Since(sentAt), 1500*time.Millisecond; took > limit {
+			t.Errorf("answer after %v, want at most %v", took, limit)
+		}
+	}
+}
