TestBytesToDiscovery takes a call's bytes before it lets the next call come

Cause: the test took the bytes that the stand-in had read after it had let it answer, so that the scheduler's next call could have been read by then. The requests were right.

Change: the stand-in takes them itself, before it answers. The golden file and what is compared are the same.

--- a/internal/platform/golden_test.go
+++ b/internal/platform/golden_test.go
@@ -121,10 +121,10 @@
 	var recorded transcript
 	worker := newTestWorker(t, serveJob)
 	answers := []string{endpointsJSON(7, true, worker), endpointsJSON(3, false, worker), endpointsJSON(9, true, worker)}
-	calls := make(chan bool)
+	calls := make(chan []byte) // the bytes of each call, taken before its answer allows the next one
 	listener := &recordedListener{Listener: listen(t)}
 	standin.Serve(listener, func(c net.Conn, _ *http.Request, _ string) bool {
-		calls <- true
+		calls <- listener.takeRead()
 		if len(answers) == 0 {
 			return neverAnswers(c, nil, "")
 		}
@@ -135,8 +135,7 @@
 	})
 	start(t, listener.Addr().String(), worker)
 	for _, title := range []string{"the first", "the changes", "the whole list, where versions went back", "the changes"} {
-		<-calls
-		recorded.add(title, listener.takeRead())
+		recorded.add(title, <-calls)
 	}
 	golden.Check(t, "to-discovery.txt", []byte(recorded.text.String()))
 }
