--- a/internal/slowstart/slots_test.go
+++ b/internal/slowstart/slots_test.go
@@ -1,6 +1,7 @@
 package slowstart
 
 import (
+	"math"
 	"testing"
 	"time"
 
@@ -61,3 +62,12 @@
 		}
 	})
 }
+
+// A number of jobs that is not a number must give one slot on every processor. Otherwise the conversion gives 0 slots on
+// arm64, and the length of a slot is a division by zero.
+func TestSlotsWithoutANumberOfJobs(t *testing.T) {
+	one, got := NewSlots(1000, 4, 1, 1), NewSlots(1000, 4, 1, math.NaN())
+	if got != one {
+		t.Errorf("NewSlots() with NaN jobs = %+v, want %+v as with 1 job", got, one)
+	}
+}
