An id that the first process of an upgrade accepts does not run again at the second one

Cause: runSuccessor in internal/daemon/successor.go; pollPredecessor read the slots in flight of each later state, not its ids.

Idempotent jobs do not wait.

--- a/endpoint_lease_test.go
+++ b/endpoint_lease_test.go
@@ -28,8 +28,7 @@
 	}
 	const grace, changeLease = membership.FirstAnswerGrace, membership.DiscoveryChangeLease
 	confirmed, changed := pollEvent(EndpointsConfirmed, 0), pollEvent(DiscoveryChanged, 0)
-	busy := pollEvent(EndpointsPollFailed, FailureBusy)
-	down := pollEvent(EndpointsPollFailed, FailureDown)
+	busy, down := pollEvent(EndpointsPollFailed, FailureBusy), pollEvent(EndpointsPollFailed, FailureDown)
 	invalid := pollEvent(EndpointsPollFailed, FailureInvalid)
 	unanswered := pollEvent(EndpointsPollFailed, FailureUnanswered)
 	inherited := Event{Kind: EventEndpoints, EndpointUpdate: EndpointsInherited, EndpointsFreshFor: second}
@@ -67,7 +66,7 @@
 		{"inherited", []call{{0, inherited}}, second - ms, 3, true},
 		{"inherited, past it", []call{{0, inherited}}, second, 0, false},
 		{"inherited, then down", []call{{0, inherited}, {0, down}}, testLease - ms, 3, true},
-		{"down again and again", []call{{second, confirmed}, {5 * second, down}, {5 * second, down}}, testLease - ms, 3, true},
+		{"down again", []call{{second, confirmed}, {5 * second, down}, {5 * second, down}}, testLease - ms, 3, true},
 		{"down, and nothing since", []call{{second, confirmed}, {second, down}}, testLease, 0, false},
 		{"stale, then down", []call{{second, confirmed}, {testLease, busy}, {second, down}}, 0, 0, false},
 		{"answered again", []call{{second, confirmed}, {10 * second, invalid}, {second, confirmed}}, 0, 3, true},
--- a/internal/core/accept.go
+++ b/internal/core/accept.go
@@ -75,6 +75,10 @@
 	c.jobs.add(j)
 	c.updateActive()
 	c.startOverdueTimer(j)
+	if c.mustAwaitIDs(j) {
+		c.hold(j)
+		return
+	}
 	c.admit(j)
 }
 
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -55,12 +55,13 @@
 	idsInUse  *xsync.Map[string, struct{}] // with cells: ids that Accept rejects without the event loop
 
 	// Owned by the event loop's goroutine.
-	jobs      jobTable
-	workers   workerTable
-	cells     cellSet
-	shutdown  shutdownState
-	maxOpen   int  // maximum number of open jobs
-	confirmed bool // discovery has answered since the start of the process
+	jobs        jobTable
+	workers     workerTable
+	cells       cellSet
+	shutdown    shutdownState
+	predecessor predecessorIDs
+	maxOpen     int  // maximum number of open jobs
+	confirmed   bool // discovery has answered since the start of the process
 }
 
 // New returns a Core that is not started. Events that are posted before Start are handled after it. The error is
--- a/internal/daemon/successor.go
+++ b/internal/daemon/successor.go
@@ -40,6 +40,7 @@
 // A handoverProgress is the part of a handover that the successor polls.
 type handoverProgress struct {
 	core.DrainProgress
+	IDs       []string                   `json:"IDs"` // as in core.State
 	Endpoints *platform.EndpointSnapshot `json:"Endpoints"`
 }
 
@@ -48,6 +49,7 @@
 // error. It is a background task; a shutdown ends it.
 func (d *Daemon) runSuccessor() {
 	d.divideLimits(twoProcesses)
+	d.Core.AwaitPredecessorIDs()
 	shuttingDown := d.lifecycle.shuttingDown
 	if d.awaitPredecessorState(shuttingDown) != nil {
 		return
@@ -166,6 +168,13 @@
 	return nil
 }
 
+// adoptLastIDs reports the ids of the last state that the predecessor saved before it exited, if there is one.
+func (d *Daemon) adoptLastIDs() {
+	if progress, err := d.loadPredecessorProgress(); err == nil {
+		d.Core.SetPredecessorIDs(progress.TakenAt, progress.IDs)
+	}
+}
+
 // pollPredecessor updates the slots that the predecessor's jobs still use at the workers. It marks the
 // predecessor as no longer needed once a state that was saved more than minOverlap after this process began to
 // listen has no open jobs, since the platform can then stop the predecessor without failing a job, and in any
@@ -179,6 +188,7 @@
 		return // the next poll retries
 	}
 	d.Core.SetExternalSlots(progress.InFlight)
+	d.Core.SetPredecessorIDs(progress.TakenAt, progress.IDs)
 	if !d.platform.HasSynced() {
 		d.adoptEndpoints(progress) // discovery may still notify the predecessor
 	}
--- a/internal/daemon/takeover.go
+++ b/internal/daemon/takeover.go
@@ -161,6 +161,8 @@
 func (d *Daemon) completeTakeover() {
 	d.log.Info("takeover: predecessor has exited")
 	d.Core.SetExternalSlots(nil)
+	d.adoptLastIDs()
+	d.Core.ForgetPredecessor()
 	d.takeover.lock.DiscardState()
 	d.takeover.predecessorMayExit.Store(true)
 	if err := d.startControl(); err != nil {
--- a/internal/daemon/takeover_test.go
+++ b/internal/daemon/takeover_test.go
@@ -170,3 +170,18 @@
 		t.Errorf("draining workers got %d requests for %d jobs, want 0", got, served)
 	}
 }
+
+// Jobs that must not run twice wait at the successor until it knows the predecessor's ids, and are served then.
+func TestSuccessorAwaitsThePredecessorsIDs(t *testing.T) {
+	a, _ := startAdminFixture(t)
+	successor := a.startProcess(t)
+	a.await(t, "the successor is ready", successor.Ready)
+	a.Daemon = successor
+	client := a.client("islands", "ratify", "c")
+	if status := client.Send(); status != http.StatusOK {
+		t.Errorf("status of a job in the takeover = %d, want %d", status, http.StatusOK)
+	}
+	if held := successor.Counters.Get("jobs.held"); held != 1 {
+		t.Errorf("counter jobs.held of the successor = %d, want 1", held)
+	}
+}
--- a/internal/lab/fleet/lease_test.go
+++ b/internal/lab/fleet/lease_test.go
@@ -9,7 +9,7 @@
 
 // Limits of sends to a worker that drains.
 const (
-	notificationLimit = 6 * time.Second        // after a change at a discovery that runs, every scheduler counts as notified
+	notificationLimit = 6 * time.Second        // after a change at a discovery that runs, all count as notified
 	maxHoldUp         = 150 * time.Millisecond // of a scheduler, between its clock and a write
 )
 
--- a/internal/lab/service/busy_client_test.go
+++ b/internal/lab/service/busy_client_test.go
@@ -30,7 +30,8 @@
 	"new ids":    func(id string) string { return jobRequest(id, "south", "", "") },
 	"new labels": func(id string) string { return jobRequest(id, "south", "X-Labels: "+id+"=1,slots=1\r\n", "x") },
 	"new keys": func(id string) string {
-		return strings.Replace(jobRequest(id, "south", "", "x"), "/reading", "/reading?user="+fmt.Sprintf("%016x", hash(id)), 1)
+		target := fmt.Sprintf("/reading?user=%016x", hash(id))
+		return strings.Replace(jobRequest(id, "south", "", "x"), "/reading", target, 1)
 	},
 }
 
@@ -80,8 +81,8 @@
 	return times[len(times)/2]
 }
 
-// sendWithoutReading starts a client that sends requests on one connection without awaiting their answers, which it reads
-// and drops, and connects again when the connection ends. The returned function ends it.
+// sendWithoutReading starts a client that sends requests on one connection without awaiting their answers, which it
+// reads and drops, and connects again when the connection ends. The returned function ends it.
 func sendWithoutReading(t *testing.T, addr string, request func(id string) string) (end func()) {
 	var stopping atomic.Bool
 	var client sync.WaitGroup
--- a/internal/lab/service/crowd_test.go
+++ b/internal/lab/service/crowd_test.go
@@ -164,8 +164,8 @@
 	return !response.Close
 }
 
-// playBeside plays usual clients for a time beside others that are already there, and returns what they got and the most
-// anonymous memory that the scheduler took meanwhile.
+// playBeside plays usual clients for a time beside others that are already there, and returns what they got and the
+// most anonymous memory that the scheduler took meanwhile.
 func playBeside(t *testing.T, d *Deployment) (usual *usualLoad, memory uint64) {
 	var stopping atomic.Bool
 	var clients sync.WaitGroup
--- a/internal/slowstart/slots_test.go
+++ b/internal/slowstart/slots_test.go
@@ -63,8 +63,8 @@
 	})
 }
 
-// A number of jobs that is not a number must give one slot on every processor. Otherwise the conversion gives 0 slots on
-// arm64, and the length of a slot is a division by zero.
+// A number of jobs that is not a number must give one slot on every processor. Otherwise the conversion gives 0 slots
+// on arm64, and the length of a slot is a division by zero.
 func TestSlotsWithoutANumberOfJobs(t *testing.T) {
 	one, got := NewSlots(1000, 4, 1, 1), NewSlots(1000, 4, 1, math.NaN())
 	if got != one {
