Only a connection's first request is aged by the time that it was unread

The backlog, which it is for, holds first requests alone.

Change: later requests count from when they are read, as before.

--- a/internal/platform/client_conn.go
+++ b/internal/platform/client_conn.go
@@ -207,9 +207,12 @@
 	return c.writeReply(c.formatAnswer(answer), closeAfter || mustClose || overCellLimit)
 }
 
-// unreadTime returns how long the last byte of a request has waited to be read, for example in the listener's backlog;
-// 0 for up to maxUncountedWait.
+// unreadTime returns how long the last byte of a connection's first request has waited to be read, mostly in the
+// listener's backlog; 0 for up to maxUncountedWait, and for later requests, which are read when they arrive.
 func (c *clientConn) unreadTime() time.Duration {
+	if !c.answeredAt.IsZero() {
+		return 0
+	}
 	if age := sinceLastInput(c.conn); age > maxUncountedWait {
 		return age
 	}
