One reader of TCP_INFO, no unread field of the predecessor's state, no backlog query per accept

Seen in rereading the change: predecessorIDs.takenAt was written and never read; sinceLastInput and pendingConns each read TCP_INFO their own way; awaitCapacity asked for the backlog's length at every accept, also with room for the connection.

Change: the field goes, tcpInfo serves both, and the graces are computed when accept has to wait. Behaviour is the same.

--- a/internal/core/predecessor.go
+++ b/internal/core/predecessor.go
@@ -14,8 +14,7 @@
 // A predecessorIDs holds back the jobs that must not run twice until it is known that the predecessor, which serves
 // clients beside this process in an upgrade, did not accept a job with the same id before.
 type predecessorIDs struct {
-	awaited bool  // a predecessor runs
-	takenAt int64 // time of its last state, in Unix nanoseconds
+	awaited bool // a predecessor runs
 	held    []heldJob
 }
 
@@ -45,7 +44,6 @@
 }
 
 func (e predecessorIDsRead) apply(c *Core) {
-	c.predecessor.takenAt = e.takenAt
 	for _, id := range e.ids {
 		c.rememberID(id, true)
 		c.idsInUse.Store(id, struct{}{})
--- a/internal/platform/client_capacity.go
+++ b/internal/platform/client_capacity.go
@@ -35,7 +35,6 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for {
-		_, firstRequest := s.graces()
 		stopping = s.stopAccepting.Load()
 		limit := s.connLimit()
 		if stopping {
@@ -45,6 +44,7 @@
 		if len(s.conns) < limit {
 			break
 		}
+		_, firstRequest := s.graces()
 		// Connections may have passed their grace by then.
 		recheck := time.AfterFunc(min(firstByteGrace, firstRequest), s.capacityChanged.Broadcast)
 		s.capacityChanged.Wait()
--- a/internal/platform/socket.go
+++ b/internal/platform/socket.go
@@ -66,13 +66,18 @@
 
 // sinceLastInput returns the time since the kernel last received data on a connection, or since the connection was
 // established if it has received none; 0 if the kernel does not report it.
-func sinceLastInput(conn net.Conn) (age time.Duration) {
-	withDescriptor(conn, func(fd int) {
-		if info, err := unix.GetsockoptTCPInfo(fd, unix.IPPROTO_TCP, unix.TCP_INFO); err == nil {
-			age = min(time.Duration(info.Last_data_recv)*time.Millisecond, maxInputAge)
+func sinceLastInput(conn net.Conn) time.Duration {
+	return min(time.Duration(tcpInfo(conn).Last_data_recv)*time.Millisecond, maxInputAge)
+}
+
+// tcpInfo returns what the kernel reports of a connection or a listener; zeros if it reports nothing.
+func tcpInfo(socket any) (info unix.TCPInfo) {
+	withDescriptor(socket, func(fd int) {
+		if reported, err := unix.GetsockoptTCPInfo(fd, unix.IPPROTO_TCP, unix.TCP_INFO); err == nil {
+			info = *reported
 		}
 	})
-	return age
+	return info
 }
 
 // hasUnsentBytes reports whether the other side's host has not yet acknowledged all written bytes.
@@ -83,13 +88,9 @@
 }
 
 // pendingConns returns the number of connections in the backlog of a listener; 0 if the kernel does not report it.
-func pendingConns(l net.Listener) (count int) {
-	withDescriptor(l, func(fd int) {
-		if info, err := unix.GetsockoptTCPInfo(fd, unix.IPPROTO_TCP, unix.TCP_INFO); err == nil {
-			count = int(info.Unacked) // of a listening socket, the length of its backlog
-		}
-	})
-	return count
+func pendingConns(l net.Listener) int {
+	info := tcpInfo(l)
+	return int(info.Unacked) // of a listening socket, the length of its backlog
 }
 
 // hasPendingConn reports whether the backlog of a listener holds a connection.
