A lone connection that waits does not shorten the grace of first requests

Seen: TestClientConnBudget failed in 6 of 20 plays under the race detector with nothing beside it ("unexpected EOF"): a client amid its first request is closed without an answer after 100 ms.

Cause: since graces (client_capacity.go) divides backlogDrainTime, 100 ms, instead of firstRequestGrace, 250 ms, as soon as one connection waits, although the budget has a place for it once an idle connection has been closed, which itself takes the 100 ms of lateRequestGrace. The two run out together.

Change: the grace is firstRequestGrace unless more connections wait than the budget allows, and shrinks in proportion from there, to minRequestGrace as before. backlogDrainTime is gone.

Result: TestClientConnBudget, TestRequestBehindStoppedCrowd and TestBacklogIsServed pass in 20 of 20 plays under the race detector. TestCrowdBesideUsualClients passes in two plays, slowest answers 0.14 to 0.40 s (0.24 to 0.36 s with the shorter grace), deadline 0.8 s.

--- a/internal/platform/client_capacity.go
+++ b/internal/platform/client_capacity.go
@@ -57,18 +57,15 @@
 }
 
 // graces returns how long connections without a byte, and with an incomplete first request, are not closed to free
-// capacity. While connections wait in the backlog, the second is so short that the last of them is accepted within
-// backlogDrainTime, but at least minRequestGrace. In the backlog at a shutdown, a request that was sent has arrived.
+// capacity. While more connections wait in the backlog than the budget allows, the second is so short that the last of
+// them is accepted within firstRequestGrace, but at least minRequestGrace. In the backlog at a shutdown, a request that
+// was sent has arrived.
 func (s *clientServer) graces() (firstByte, firstRequest time.Duration) {
 	if s.stopAccepting.Load() {
 		return 0, shutdownRequestGrace
 	}
-	pending := pendingConns(s.listener)
-	if pending == 0 {
-		return firstByteGrace, firstRequestGrace
-	}
 	budget := max(1, s.budget)
-	firstRequest = backlogDrainTime * time.Duration(budget) / time.Duration(max(budget, pending))
+	firstRequest = firstRequestGrace * time.Duration(budget) / time.Duration(max(budget, pendingConns(s.listener)))
 	return firstByteGrace, max(firstRequest, minRequestGrace)
 }
 
--- a/internal/platform/client_server.go
+++ b/internal/platform/client_server.go
@@ -85,7 +85,6 @@
 	defaultLateRequestGrace = 100 * time.Millisecond
 	firstByteGrace          = 50 * time.Millisecond  // a well-behaved client has begun its first request by then
 	firstRequestGrace       = 250 * time.Millisecond // and has sent it completely by then
-	backlogDrainTime        = 100 * time.Millisecond // until the last connection of the backlog is accepted
 	minRequestGrace         = 20 * time.Millisecond  // firstRequestGrace while very many connections wait to be accepted
 	shutdownReserve         = 8                      // connections beyond the budget while the backlog is accepted
 	shutdownRequestGrace    = 50 * time.Millisecond  // firstRequestGrace while the backlog is accepted
