A successor polls the discovery that a reload has given its predecessor

Seen in reading the ways to a list past its time: after a SIGHUP that moved discovery, an upgrade with the same environment polls LB_DISCOVERY, the address from before the reload. Nobody listens there any more, which counts as discovery that is down: the list that the successor starts with stays fresh for any time, it is never notified of a drain, and callers lose the jobs that drained workers took.

Cause: at a start the variable stands above the file (config.override), and the handed-over state did not name the discovery that the predecessor polls (runSuccessor, internal/daemon/successor.go).

Change: the state names it, and the successor polls it if the configuration file names it too. An operator who changes both the file and the variable for the second process gets what he asks for, as before.

--- a/internal/daemon/successor.go
+++ b/internal/daemon/successor.go
@@ -7,6 +7,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/vatu-meals/foxlift/internal/config"
 	"github.com/vatu-meals/foxlift/internal/core"
 	"github.com/vatu-meals/foxlift/internal/platform"
 )
@@ -34,6 +35,7 @@
 // A handover is what a process saves for its successor.
 type handover struct {
 	core.State
+	Discovery string                     `json:"Discovery"`           // address of the discovery that is polled
 	Endpoints *platform.EndpointSnapshot `json:"Endpoints,omitempty"` // nil until discovery has confirmed a list
 }
 
@@ -41,6 +43,7 @@
 type handoverProgress struct {
 	core.DrainProgress
 	IDs       []string                   `json:"IDs"` // as in core.State
+	Discovery string                     `json:"Discovery"`
 	Endpoints *platform.EndpointSnapshot `json:"Endpoints"`
 }
 
@@ -55,6 +58,7 @@
 		return
 	}
 	if progress, err := d.loadPredecessorProgress(); err == nil {
+		d.adoptDiscovery(progress)
 		d.adoptEndpoints(progress)
 	}
 	d.platform.StartWatch()
@@ -71,6 +75,17 @@
 	})
 }
 
+// adoptDiscovery makes the platform poll the predecessor's discovery, if the configuration file names it: a reload has moved
+// the predecessor there, and the variable LB_DISCOVERY that this process was started with is from before the reload. It
+// must be called before StartWatch.
+func (d *Daemon) adoptDiscovery(progress *handoverProgress) {
+	reloaded, err := config.Reload(d.options.Getenv)
+	if err != nil || reloaded.Discovery != progress.Discovery {
+		return
+	}
+	d.platform.SetDiscovery(reloaded.Discovery)
+}
+
 // adoptEndpoints uses the endpoint list that the predecessor saved, if it has saved one: the cached list of the
 // configuration may be from before changes of which the scheduler was notified.
 func (d *Daemon) adoptEndpoints(progress *handoverProgress) {
--- a/internal/daemon/takeover.go
+++ b/internal/daemon/takeover.go
@@ -189,7 +189,7 @@
 	if err != nil {
 		return err
 	}
-	saved := &handover{State: *state}
+	saved := &handover{State: *state, Discovery: d.platform.Discovery()}
 	if endpoints, ok := d.platform.SnapshotEndpoints(); ok {
 		endpoints.FreshFor = freshFor
 		saved.Endpoints = endpoints
--- a/internal/daemon/takeover_test.go
+++ b/internal/daemon/takeover_test.go
@@ -171,6 +171,50 @@
 	}
 }
 
+// Guards against a successor that polls the address in its environment although a reload has moved its predecessor to the
+// one that the configuration file names. Nobody listens at the old address, so that the successor would never be notified
+// of a drain, and would take its list for the current one for any time.
+func TestSuccessorPollsTheReloadedDiscovery(t *testing.T) {
+	a, first := startAdminFixture(t)
+	first.Kill()
+	oldAddress := a.discovery.Addr().String()
+	variables := a.variables("127.0.0.1:0")
+	variables["LB_DISCOVERY"] = oldAddress
+	predecessor := a.mustStart(t, variables)
+	a.await(t, "the predecessor is ready", predecessor.Ready)
+	a.moveDiscovery(t)
+	if err := predecessor.Reload(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	a.await(t, "the new discovery has answered the predecessor", func() bool {
+		_, confirmed := predecessor.platform.EndpointsVersion()
+		return confirmed
+	})
+	successor := a.mustStart(t, variables)
+	a.await(t, "the successor is ready", successor.Ready)
+	predecessor.ShutDown()
+	if got, want := successor.platform.Discovery(), a.discovery.Addr().String(); got != want {
+		t.Errorf("the successor polls %s, want %s", got, want)
+	}
+	version := int64(a.discovery.Version())
+	a.discovery.Put(a.workers[0], standin.Leaving)
+	a.await(t, "the successor is notified of a drain", func() bool {
+		got, confirmed := successor.platform.EndpointsVersion()
+		return confirmed && got > version
+	})
+}
+
+// moveDiscovery replaces the discovery stand-in by one at another address, which the configuration file names.
+func (a *adminFixture) moveDiscovery(t *testing.T) {
+	t.Helper()
+	a.stopDiscovery()
+	var err error
+	if a.discovery, err = standin.StartDiscovery(a.workers...); err != nil {
+		t.Fatal(err)
+	}
+	a.writeConfig(t)
+}
+
 // Jobs that must not run twice wait at the successor until it knows the predecessor's ids, and are served then.
 func TestSuccessorAwaitsThePredecessorsIDs(t *testing.T) {
 	a, _ := startAdminFixture(t)
--- a/internal/platform/endpoint_watch.go
+++ b/internal/platform/endpoint_watch.go
@@ -134,6 +134,22 @@
 	return w.table.state(worker)
 }
 
+// address returns the address of the discovery that is polled.
+func (w *endpointWatch) address() string {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.discovery
+}
+
+// setAddress changes the address of the discovery that is polled, before the first call. It has no effect after switchTo.
+func (w *endpointWatch) setAddress(address string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if !w.switched {
+		w.discovery = address
+	}
+}
+
 // hasSynced reports whether a response of discovery has been applied since the start of this process. The last response
 // of an old discovery, read during a switch, does not count.
 func (w *endpointWatch) hasSynced() bool {
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -190,6 +190,13 @@
 	}
 }
 
+// Discovery returns the address of the discovery that is polled.
+func (p *Platform) Discovery() string { return p.endpoints.address() }
+
+// SetDiscovery changes the address of the discovery that is polled. It must be called before StartWatch, and has no
+// effect after Reload.
+func (p *Platform) SetDiscovery(address string) { p.endpoints.setAddress(address) }
+
 // Reload applies the discovery address of a reloaded configuration. It validates the cached endpoint list first; if it
 // returns an error, nothing has changed.
 func (p *Platform) Reload(cfg *config.Scheduler) error {
