An attempt is not written once the endpoint list has become stale

Cause, by reading: the module checks the lease when it chooses a worker. Until the request is written, execute and stillValid (internal/platform/attempt.go) look up the worker in the table only, after a dial of up to connectTimeout and waits of up to 4 s in findLive. A table that is not updated has no drain to show. Ruled out: health checks (not allowed in that fleet), a lease that is renewed late (the other three workers, which get a quarter of the jobs each, would have got some too).

Change: the core publishes the time at which the module says that the list becomes stale, before the actions of a step are executed, and the look-up before the dial, before the first byte and before the last byte asks for it too. A health check does before it dials. The attempt ends as not sent, and the module decides as before.

Result: TestNothingIsSentByAStaleList fails with the look-up as before (6 requests at the worker, 3 of them health checks, want 0) and passes. TestReplay passes: no decision differs. Tests of core, daemon and platform pass, as do those of the fleet on leases, drains and restarts.

--- a/api.go
+++ b/api.go
@@ -315,8 +315,8 @@
 	Token          uint64
 	EndpointUpdate EndpointUpdate
 	PollFailure    PollFailure // set if EndpointUpdate is EndpointsPollFailed
-	// EndpointsFreshFor is the predecessor's Dispatcher.EndpointsFreshFor, if EndpointUpdate is
-	// EndpointsInherited; in nanoseconds.
+	// EndpointsFreshFor is the time in nanoseconds until the predecessor's Dispatcher.EndpointsExpireAt, if
+	// EndpointUpdate is EndpointsInherited.
 	EndpointsFreshFor int64
 	Workers           []Worker
 	From              int // index of the peer that sent the message
--- a/endpoint_lease.go
+++ b/endpoint_lease.go
@@ -24,9 +24,10 @@
 // EndpointsUsable reports whether jobs may be sent by the current endpoint list.
 func (d *Dispatcher) EndpointsUsable() bool { return d.endpoints.lease.Fresh(d.now) }
 
-// EndpointsFreshFor returns for how many nanoseconds jobs may be sent by the current endpoint list if
-// discovery does not answer; 0 if none may be sent, or if Config.EndpointLease is 0.
-func (d *Dispatcher) EndpointsFreshFor() int64 { return d.endpoints.lease.Remaining(d.now) }
+// EndpointsExpireAt returns the time in nanoseconds from which no job may be sent by the current list if
+// discovery does not answer: a past time if none may be sent now, math.MaxInt64 if Config.EndpointLease
+// is 0.
+func (d *Dispatcher) EndpointsExpireAt() int64 { return d.endpoints.lease.ExpiresAt() }
 
 // AwaitsEndpoints reports whether the host should wait for discovery's first answer before it is ready.
 func (d *Dispatcher) AwaitsEndpoints() bool { return d.endpoints.lease.AwaitsFirstAnswer(d.now) }
--- a/internal/core/dispatch.go
+++ b/internal/core/dispatch.go
@@ -31,7 +31,9 @@
 func (c *Core) stepCell(cl *cell) {
 	events, leaving := cl.events, cl.leaving
 	cl.events, cl.leaving = nil, nil
-	for _, action := range cl.dispatcher.Step(c.clock.Now(), events) {
+	actions := cl.dispatcher.Step(c.clock.Now(), events)
+	c.updateEndpointsExpiry()
+	for _, action := range actions {
 		c.execute(cl, &action)
 	}
 	for _, j := range leaving {
--- a/internal/core/takeover.go
+++ b/internal/core/takeover.go
@@ -61,7 +61,7 @@
 // returns the error of ctx if ctx ends first, and ErrShuttingDown if the core stops first.
 func (c *Core) EndpointsFreshFor(ctx context.Context) (time.Duration, error) {
 	return callOnEventLoop(ctx, c, func(c *Core) (time.Duration, error) {
-		return time.Duration(c.cells.all[0].dispatcher.EndpointsFreshFor()), nil
+		return time.Duration(max(0, c.cells.all[0].dispatcher.EndpointsExpireAt()-c.clock.Now())), nil
 	})
 }
 
--- a/internal/decision/membership/lease.go
+++ b/internal/decision/membership/lease.go
@@ -7,6 +7,8 @@
 // discovery that answers no call of this process may be down, but may as well answer the calls of others.
 package membership
 
+import "math"
+
 // A PollFailure says what a failed poll shows about discovery.
 type PollFailure uint8
 
@@ -93,13 +95,13 @@
 // the lease never ends, or discovery answered, or was down, less than the lease's duration ago.
 func (l *Lease) Fresh(now int64) bool { return l.duration == 0 || now < l.expiresAt }
 
-// Remaining returns for how many nanoseconds the list stays fresh if discovery does not answer; 0 if it is
-// stale, or the lease never ends.
-func (l *Lease) Remaining(now int64) int64 {
+// ExpiresAt returns the time at which the list becomes stale if discovery does not answer, or became stale;
+// math.MaxInt64 if the lease never ends.
+func (l *Lease) ExpiresAt() int64 {
 	if l.duration == 0 {
-		return 0
+		return math.MaxInt64
 	}
-	return max(0, l.expiresAt-now)
+	return l.expiresAt
 }
 
 // AwaitsFirstAnswer reports whether the process should wait for an answer of discovery before it is ready:
--- a/internal/decision/membership/lease_test.go
+++ b/internal/decision/membership/lease_test.go
@@ -48,8 +48,9 @@
 	if fresh, awaits := l.Fresh(now), l.AwaitsFirstAnswer(now); fresh != c.fresh || awaits != c.awaits {
 		t.Errorf("Fresh() = %v, AwaitsFirstAnswer() = %v, want %v, %v", fresh, awaits, c.fresh, c.awaits)
 	}
-	if remaining := l.Remaining(now); remaining > 0 != c.fresh || remaining > testDuration {
-		t.Errorf("Remaining() = %d with Fresh() = %v, want 1 to %d if fresh, else 0", remaining, c.fresh, testDuration)
+	if remaining := l.ExpiresAt() - now; remaining > 0 != c.fresh || remaining > testDuration {
+		t.Errorf("ExpiresAt() is %d away with Fresh() = %v, want 1 to %d if fresh, else 0 or less",
+			remaining, c.fresh, testDuration)
 	}
 }
 
--- a/internal/lab/fleet/lease_test.go
+++ b/internal/lab/fleet/lease_test.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"strings"
 	"testing"
 	"time"
 
@@ -70,4 +71,9 @@
 			t.Errorf("request reached draining worker %s %v after the latest time, want none", worker.Name, late)
 		}
 	}
+	if t.Failed() {
+		for _, p := range f.Processes {
+			t.Logf("end of the log of %s:\n%s", p.Name, strings.Join(p.Log(), "\n"))
+		}
+	}
 }
--- a/internal/platform/attempt_test.go
+++ b/internal/platform/attempt_test.go
@@ -102,6 +102,27 @@
 	check(t, "requests at the worker", worker.RequestCount.Load(), int64(0))
 }
 
+// Guards against requests to workers that may drain: the endpoint list becomes stale after the module has chosen the
+// worker, first during the dial, then before the last byte, and then before an attempt or a health check looks it up.
+func TestNothingIsSentByAStaleList(t *testing.T) {
+	worker := newTestWorker(t, serveJob)
+	for _, freshLookups := range []int{1, 2, 0} {
+		lookups := 0
+		pool := &workerPool{
+			findLive:       func(string) (endpoint, bool) { return endpoint{address: worker.Addr().String()}, true },
+			endpointsFresh: func() bool { lookups++; return lookups <= freshLookups },
+			counters:       &counters.Set{}, dialTimeout: waitTimeout, idleTimeout: time.Hour, budget: 9,
+			idle: map[string][]*workerConn{},
+		}
+		job := &core.Job{ID: "j", Payload: &payload{method: "POST", target: "/reading"}}
+		reports := make(chan core.Report, 1)
+		pool.Send("n", job, core.AttemptLimits{Remaining: waitTimeout}, func(r core.Report) { reports <- r })
+		check(t, fmt.Sprintf("code of an attempt after %d fresh lookups", freshLookups), (<-reports).Code, foxlift.NotSent)
+		check(t, "code of a health check", pool.healthCheck("n").Code, foxlift.NotSent)
+	}
+	check(t, "complete requests at the worker", worker.RequestCount.Load(), int64(0))
+}
+
 // Guards against a client that waits past its deadline because the worker does not answer. The remaining time is given
 // in milliseconds and in microseconds.
 func TestSilentWorker(t *testing.T) {
--- a/internal/platform/health_check.go
+++ b/internal/platform/health_check.go
@@ -18,10 +18,10 @@
 	go func() { report(p.healthCheck(worker)) }()
 }
 
-// healthCheck runs one health check of a worker and returns its report. The code is NotSent if the worker is not live,
-// and that of the error of acquire if there is no connection.
+// healthCheck runs one health check of a worker and returns its report. The code is NotSent if the worker is not live
+// or the endpoint list is stale, and that of the error of acquire if there is no connection.
 func (p *workerPool) healthCheck(worker string) core.Report {
-	target, ok := p.findLive(worker)
+	target, ok := p.findUsable(worker)
 	if !ok {
 		return finalReport(foxlift.NotSent)
 	}
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -85,6 +85,7 @@
 	memoryLimit := int64(cfg.MemoryMB) << 20
 	pool := newWorkerPool(endpoints, cfg.Settings, counterSet, log, connsPerSide, memoryLimit)
 	endpoints.table.onWorkerState = pool.inFlight.scheduleAborts
+	pool.endpointsFresh = jobCore.EndpointsFresh
 	p := &Platform{
 		clients:       newClientServer(jobCore, clock, counterSet, log, nil, connsPerSide),
 		endpoints:     endpoints,
--- a/internal/platform/worker_pool.go
+++ b/internal/platform/worker_pool.go
@@ -31,6 +31,8 @@
 type workerPool struct {
 	// findLive returns a worker's entry, and whether new work may be sent to the worker now.
 	findLive func(worker string) (endpoint, bool)
+	// endpointsFresh reports whether requests may be sent by the endpoint list now; nil in some tests: always.
+	endpointsFresh func() bool
 	// stateOf returns a worker's state in the endpoint list, and the time since which it has not been live. In tests
 	// it may be nil, which disables the checks of package guard.
 	stateOf     func(worker string) (foxlift.WorkerState, time.Time)
@@ -87,6 +89,13 @@
 	return p
 }
 
+// findUsable returns a worker's entry, and whether a request may be sent to the worker now: it is live, and the list in
+// which it is has not become stale meanwhile.
+func (p *workerPool) findUsable(worker string) (endpoint, bool) {
+	target, live := p.findLive(worker) // may block
+	return target, live && (p.endpointsFresh == nil || p.endpointsFresh())
+}
+
 // reuse removes the most recently used idle connection to a worker from the pool and returns it; nil if none is usable.
 // It closes unusable ones. For a job that must not run twice, it leaves connections in the pool whose answers are not
 // certain.
