No worker is asked for its load by an endpoint list past its lease

Seen in reading the ways of a stale list: where the settings allow health checks, a job that comes while the list is stale lets the module ask two workers for their load (requestHealthChecks, health_checks.go), although no job may be sent by the list. Each costs a worker some milliseconds, and may reach one whose drain counts as notified.

Change: none is asked then.

--- a/endpoint_lease_test.go
+++ b/endpoint_lease_test.go
@@ -112,3 +112,19 @@
 		}
 	}
 }
+
+// By a list past its lease no worker may be asked for its load either: it may be draining, and nothing may be sent
+// by what it reports.
+func TestExpiredLeaseAsksNoWorker(t *testing.T) {
+	cfg := leaseConfig()
+	cfg.MayHealthCheck, cfg.Dispatchers = true, 2
+	for _, age := range []int64{testLease - ms, testLease} {
+		h := newHarness(t, cfg, testWorkers(9)...)
+		h.step(pollEvent(EndpointsConfirmed, 0))
+		h.advance(age)
+		h.step(h.request(1, idempotent))
+		if got, fresh := len(h.actionsOf(ActionHealthCheck)), age < testLease; got > 0 != fresh {
+			t.Errorf("list %d ns old, lease %d: %d health checks, want some while it is fresh alone", age, testLease, got)
+		}
+	}
+}
--- a/health_checks.go
+++ b/health_checks.go
@@ -13,9 +13,10 @@
 // slot in use, for their load while a job waits. It reports whether it asked any, so that the job waits. The
 // answers put the workers into recentReports, which placement considers: a dispatcher with little traffic has
 // only outdated load reports. It asks none if the fleet is loaded, if workersPerCheck workers with a free
-// slot reported recently, or if checks are not possible or show nothing new.
+// slot reported recently, if checks are not possible or show nothing new, or if no job may be sent by the
+// endpoint list, by which a worker may drain.
 func (d *Dispatcher) requestHealthChecks(j *job) bool {
-	if d.hasCompleteUsage() || !d.cfg.MayHealthCheck || len(d.cfg.Gauges) == 0 ||
+	if d.hasCompleteUsage() || !d.cfg.MayHealthCheck || len(d.cfg.Gauges) == 0 || !d.EndpointsUsable() ||
 		len(d.liveWorkers) <= len(d.capacity.recentReports.workers) ||
 		d.capacity.reports.FleetPressure().Average > saturatedPressure ||
 		d.recentlyFreeWorkers() >= workersPerCheck {
