Only a wait in the backlog that the process has measured itself ages a request

A process that stands still between accept and read, or whose clock is another one than the kernel's, sheds sound requests as too late (503, jobs.too_late).

Cause: serveConn and unreadTime (internal/platform) took the figure alone, although only the listener's backlog is meant.

Change: accept notes when it last found the backlog empty. One poll of the listener for each accept.

--- a/internal/platform/client_conn.go
+++ b/internal/platform/client_conn.go
@@ -36,12 +36,16 @@
 	server        *clientServer
 	conn          net.Conn
 	buf           readBuffer
-	openedAt      time.Time   // when the first data arrived, or the connection was established, if accepted later
+	openedAt      time.Time   // when it was accepted, less the time since its last data that it waited in the backlog
 	retired       atomic.Bool // to be closed as soon as it is idle
 	evicted       atomic.Bool // to be closed without an answer if its first request is still incomplete
 	answeredAt    time.Time   // when the last answer was written
 	answerPending bool        // a job was accepted and its answer has not been written
 
+	// Time before which it has not waited in the listener's backlog, on the clock of this process; zero if it has not
+	// waited for more than maxUncountedWait.
+	waitingSince time.Time
+
 	bufferMemory memoryReservation // of buf
 	jobMemory    memoryReservation // of the request that is read or served
 
@@ -207,13 +211,14 @@
 	return c.writeReply(c.formatAnswer(answer), closeAfter || mustClose || overCellLimit)
 }
 
-// unreadTime returns how long the last byte of a connection's first request has waited to be read, mostly in the
-// listener's backlog; 0 for up to maxUncountedWait, and for later requests, which are read when they arrive.
+// unreadTime returns how long the last byte of a connection's first request has waited to be read, if the connection was
+// in the listener's backlog; 0 for up to maxUncountedWait, and for later requests, which are read when they arrive.
+// The kernel's figure counts only within a wait that this process has measured itself.
 func (c *clientConn) unreadTime() time.Duration {
-	if !c.answeredAt.IsZero() {
+	if !c.answeredAt.IsZero() || c.waitingSince.IsZero() {
 		return 0
 	}
-	if age := sinceLastInput(c.conn); age > maxUncountedWait {
+	if age := min(sinceLastInput(c.conn), time.Since(c.waitingSince)); age > maxUncountedWait {
 		return age
 	}
 	return 0
--- a/internal/platform/client_server.go
+++ b/internal/platform/client_server.go
@@ -38,6 +38,7 @@
 	operatorDrain    atomic.Pointer[drain] // started by the operators; nil if there is none
 	successorDrain   atomic.Pointer[drain] // started because a successor process has the address; nil if there is none
 	acceptDone       chan struct{}         // closed when accept has returned
+	backlogEmptyAt   time.Time             // when accept last found the backlog empty, or the server was created
 
 	mu              sync.Mutex
 	capacityChanged *sync.Cond // signalled when accept or shutDown may be able to go on
@@ -59,6 +60,7 @@
 		budget:           budget,
 		lateRequestGrace: defaultLateRequestGrace,
 		acceptDone:       make(chan struct{}),
+		backlogEmptyAt:   time.Now(),
 		conns:            map[*clientConn]struct{}{},
 		idle:             list.New(),
 		connsByCell:      map[string]int{},
@@ -99,12 +101,16 @@
 	backoff := minAcceptBackoff
 	for {
 		stopping := s.awaitCapacity()
+		waited := hasPendingConn(s.listener)
 		conn, err := s.listener.Accept()
+		if !waited {
+			s.backlogEmptyAt = time.Now()
+		}
 		switch {
 		case err == nil:
 			backoff = minAcceptBackoff
 			s.counters.Add("accept.connections")
-			s.serveConn(conn)
+			s.serveConn(conn, s.backlogEmptyAt)
 		case errors.Is(err, net.ErrClosed), stopping && errors.Is(err, os.ErrDeadlineExceeded) && !hasPendingConn(s.listener):
 			return
 		case errors.Is(err, os.ErrDeadlineExceeded): // shutDown interrupted Accept, or the process stalled past the deadline
@@ -119,9 +125,15 @@
 	}
 }
 
-// serveConn starts serving a connection in a new goroutine.
-func (s *clientServer) serveConn(conn net.Conn) {
-	c := &clientConn{server: s, conn: conn, openedAt: time.Now().Add(-sinceLastInput(conn))}
+// serveConn starts serving a connection in a new goroutine. The connection has not waited in the backlog before
+// waitingSince.
+func (s *clientServer) serveConn(conn net.Conn, waitingSince time.Time) {
+	now := time.Now()
+	c := &clientConn{server: s, conn: conn, openedAt: now}
+	if maxWait := now.Sub(waitingSince); maxWait > maxUncountedWait {
+		c.waitingSince = waitingSince
+		c.openedAt = now.Add(-min(sinceLastInput(conn), maxWait))
+	}
 	c.buf = readBuffer{conn: conn, reserveSize: c.reserveBuffer}
 	c.retired.Store(s.closeIdle.Load())
 	s.mu.Lock()
--- a/internal/platform/client_server_test.go
+++ b/internal/platform/client_server_test.go
@@ -1,6 +1,7 @@
 package platform
 
 import (
+	"bufio"
 	"fmt"
 	"io"
 	"net"
@@ -260,6 +261,21 @@
 	check(t, "requests at the worker", worker.RequestCount.Load(), int64(0))
 }
 
+// A connection that was accepted when it came has not waited in the backlog, whatever the kernel's clock shows: its
+// request must not count as old. The process may have stood still, or its clock be another one than the kernel's.
+func TestRequestOutsideBacklogIsNotOld(t *testing.T) {
+	p, _ := start(t, "", newTestWorker(t, serveJob))
+	near, far := pipe(t)
+	writeText(t, far, jobText("reading", "read-late", "50m", ""))
+	await(t, "the kernel's figure is above the deadline", func() bool { return sinceLastInput(near) > 2*maxUncountedWait })
+	p.clients.serveConn(near, time.Now())
+	r, _, err := readAnswer(bufio.NewReader(far))
+	if err != nil {
+		t.Fatal(err)
+	}
+	check(t, "status", r.StatusCode, http.StatusOK)
+}
+
 // After the budget was reduced below the number of open jobs, as at the start of an upgrade, a new request must be read
 // and shed. It must not wait unread until some of these jobs have ended.
 func TestRequestIsReadAfterBudgetWasReduced(t *testing.T) {
--- a/internal/platform/shutdown_test.go
+++ b/internal/platform/shutdown_test.go
@@ -109,7 +109,7 @@
 			writeText(t, far, jobText("reading", "late", "9000m", "")+strings.Repeat("y", 2<<10))
 			await(t, "late request arrived", func() bool { return hasInput(near) })
 			close(hookDone)
-		}})
+		}}, time.Now())
 		requestsBefore, status := worker.RequestCount.Load(), 200
 		switch ending {
 		case "a last answer":
