A job that comes in the step of a tick is not shed while a worker is free

Clients of a scheduler that has just started, or whose runs take half of their objective, got 503 from an idle fleet.

Cause, shown by a trial that printed each expiry: onTick calls expireQueued (admission.go) before dispatch has looked for a worker for a job that came in the same step. maxQueueTime is 1 ns where no time is left for two runs, as before six jobs have ended.

Change: in the step of a tick the jobs added in that step are checked after dispatch, with the same limits.

Result: TestJobInStepOfTickIsSent fails before (shed with a free worker) and passes.

--- a/admission.go
+++ b/admission.go
@@ -11,7 +11,10 @@
 		return // the host violates its contract: see the package comment
 	}
 	c := &d.classes[req.Class]
-	j := &job{id: req.ID, class: c, tenant: d.tenantOf(req.Tenant), req: *req, arrivedAt: d.now - req.Waited}
+	j := &job{
+		id: req.ID, class: c, tenant: d.tenantOf(req.Tenant), req: *req,
+		arrivedAt: d.now - req.Waited, addedAt: d.now,
+	}
 	if j.req.Slots <= 0 {
 		j.req.Slots = 1
 	}
@@ -110,15 +113,15 @@
 }
 
 // expireQueued sheds the queued jobs that have reached their maximum queue time or are at most two ticks from
-// their deadline.
-func (d *Dispatcher) expireQueued() {
+// their deadline: those that were added in this step, if addedInStep is true, otherwise all others.
+func (d *Dispatcher) expireQueued(addedInStep bool) {
 	for i := range d.tenants {
 		t := &d.tenants[i]
 		for k := range t.queues {
 			q := &t.queues[k]
 			for n := 0; n < len(q.jobs); {
 				j := q.jobs[n]
-				if d.now-j.firstAttemptAt < d.maxQueueTime(j) && d.now+2*d.tickInterval < j.req.Deadline {
+				if j.addedAt == d.now != addedInStep || !d.isExpired(j) {
 					n++
 					continue
 				}
@@ -127,3 +130,9 @@
 		}
 	}
 }
+
+// isExpired reports whether a queued job has reached its maximum queue time or is at most two ticks from its
+// deadline.
+func (d *Dispatcher) isExpired(j *job) bool {
+	return d.now-j.firstAttemptAt >= d.maxQueueTime(j) || d.now+2*d.tickInterval >= j.req.Deadline
+}
--- a/dispatcher.go
+++ b/dispatcher.go
@@ -27,11 +27,15 @@
 	for i := range events {
 		d.handle(&events[i])
 	}
-	if d.now >= d.timing.nextTickAt {
+	tick := d.now >= d.timing.nextTickAt
+	if tick {
 		d.onTick()
 	}
 	d.pollEndpoints()
 	d.dispatch()
+	if tick {
+		d.expireQueued(true) // not before a worker was looked for
+	}
 	d.shedUrgent()
 	d.gossipChanges()
 	return d.actions
@@ -78,7 +82,7 @@
 	}
 	d.checkOverdue()
 	d.finishHealthChecks(func(j *job) bool { return d.now-j.arrivedAt >= d.tickInterval })
-	d.expireQueued()
+	d.expireQueued(false)
 	d.updatePending()
 	d.timing.nextTickAt = d.now + d.tickInterval
 	d.actions = append(d.actions, Action{Kind: ActionTimer, At: d.timing.nextTickAt, Token: 1})
--- a/jobs.go
+++ b/jobs.go
@@ -11,6 +11,7 @@
 	tenant              *tenant
 	req                 Request
 	arrivedAt           int64
+	addedAt             int64 // time of the step that added it
 	firstAttemptAt      int64 // time when the client first sent the request, estimated from its deadline
 	objective           int64 // latency objective of this job, counted from firstAttemptAt
 	attempts            []*attempt
--- a/queue_test.go
+++ b/queue_test.go
@@ -53,6 +53,27 @@
 	}
 }
 
+// Guards against a job that is shed although a worker is free, because it comes in the step of a tick: its queue time was
+// compared with the maximum, the least possible one here, before a worker was looked for.
+func TestJobInStepOfTickIsSent(t *testing.T) {
+	cfg := testConfig()
+	cfg.Dispatchers = 2
+	for i := range cfg.Classes {
+		cfg.Classes[i].ObjectiveStretch = 0 // leaves no time for two runs, which count before any has ended
+	}
+	for class := range cfg.Classes {
+		for _, workers := range []int{1, 0} {
+			h := newHarness(t, cfg, testWorkers(workers)...)
+			h.now = h.d.timing.nextTickAt
+			e := h.request(1, class)
+			e.Request.Waited = ms
+			h.step(e)
+			h.wantActions(ActionSend, workers)
+			h.wantActions(ActionShed, 1-workers)
+		}
+	}
+}
+
 // The queue of a tenant over its quota is always long. Sent in order of arrival, every job would have used up
 // its queue time, and a long queue time would only delay the tenant's other jobs.
 func TestPastQuotaNewestFirstAndShortQueueTime(t *testing.T) {
