The time that a request was unread shortens its deadline, and is no sign of a late retry

A trial that printed what was shed shows jobs 256 ms old with 8.7 of 9 s left, at a start window that is half full with 3 of 4 slots. Behind a crowd, usual clients got 503 from workers that were free.

Cause: since ArrivedAt of a job is when its last byte came, and core passed the wait in the backlog to the module as time waited at another dispatcher. onRequest (admission.go) takes the age of a request for that of a client's late retry, which it sheds first.

--- a/admission.go
+++ b/admission.go
@@ -26,8 +26,9 @@
 	// A client's retry has the deadline of the client's first attempt, and its objective counts from that
 	// attempt: a retry that is late already is worth nothing, and must not displace other jobs when capacity is
 	// short. The time of the first attempt is estimated from the deadline and the longest wait of any client.
-	c.maxClientWait = max(c.maxClientWait, req.Deadline-j.arrivedAt)
-	j.firstAttemptAt = req.Deadline - c.maxClientWait
+	clientWait := req.Deadline + req.Unread - j.arrivedAt // as if the request had been sent when it was read
+	c.maxClientWait = max(c.maxClientWait, clientWait)
+	j.firstAttemptAt = j.arrivedAt + clientWait - c.maxClientWait
 	d.jobs.byID[req.ID] = j
 	d.keys.keyLog.Add(req.Key)
 	d.rate.RecordArrival()
--- a/api.go
+++ b/api.go
@@ -259,6 +259,7 @@
 	Memory         float64  // units of memory that the job needs; 0: not limited by memory
 	ClientRetry    bool     // the client reports an earlier try; not used by the Dispatcher
 	Waited         int64    // time that the request has already waited at another dispatcher of the host
+	Unread         int64    // time for which the host had not read the request; it counts towards Deadline alone
 	PriorAttempts  int      // attempts by another dispatcher: none may have run unless the class is Idempotent
 	AllowedWorkers []string // IDs of the only workers that may run the job; nil: any; empty: none
 }
--- a/internal/core/admit.go
+++ b/internal/core/admit.go
@@ -55,12 +55,13 @@
 }
 
 // requestDispatch adds the request for a job to the events of its cell's dispatcher, with the time since the
-// job's arrival and the number of its earlier attempts, which it also records in job.priorAttempts.
+// job was read and the number of its earlier attempts, which it also records in job.priorAttempts.
 func (c *Core) requestDispatch(j *job) {
 	j.priorAttempts = len(j.attempts)
 	j.cell.notify(foxlift.Event{Kind: foxlift.EventRequest, Request: foxlift.Request{
 		ID: j.number, Class: j.class, Tenant: j.tenant, Deadline: j.deadline, Key: j.Key,
 		Slots: j.Slots, Memory: j.Memory, ClientRetry: j.ClientRetry,
-		Waited: max(0, c.clock.Now()-j.ArrivedAt), PriorAttempts: j.priorAttempts, AllowedWorkers: j.allowedWorkers,
+		Waited: max(0, c.clock.Now()-j.ArrivedAt-int64(j.Unread)), Unread: int64(j.Unread),
+		PriorAttempts: j.priorAttempts, AllowedWorkers: j.allowedWorkers,
 	}})
 }
--- a/internal/core/job.go
+++ b/internal/core/job.go
@@ -11,6 +11,7 @@
 	Class             string
 	Tenant            string
 	ArrivedAt         int64         // time of arrival in Unix nanoseconds, on the core's clock
+	Unread            time.Duration // time from ArrivedAt until the platform read it
 	Remaining         time.Duration // how long the client waits from ArrivedAt on; bounded by the class's deadline
 	Key               uint64        // affinity key; 0 if the job has none
 	Slots             float64       // slots that the job occupies; 0 or less counts as 1
--- a/internal/platform/client_conn.go
+++ b/internal/platform/client_conn.go
@@ -230,7 +230,8 @@
 	disconnected, flooded, noMemory := false, false, false
 	pending := &pendingAnswer{c, make(chan core.Answer, 1)}
 	job.Client = pending
-	job.ArrivedAt = c.server.clock.Now() - int64(c.unreadTime())
+	job.Unread = c.unreadTime()
+	job.ArrivedAt = c.server.clock.Now() - int64(job.Unread)
 	c.server.core.Accept(job)
 	for {
 		// The deadline is reset before the answer is checked: a later answer sets a past deadline, which interrupts
--- a/queue_test.go
+++ b/queue_test.go
@@ -74,6 +74,24 @@
 	}
 }
 
+// Guards against jobs that are shed as late although there is capacity and time, because they have waited in the backlog
+// of the host: that time shortens their deadline, but is no sign of a late retry or of a long queue.
+func TestUnreadTimeCountsTowardsDeadlineAlone(t *testing.T) {
+	h := newHarness(t, testConfig(), testWorkers(2)...)
+	h.step(h.request(1, idempotent))
+	h.d.capacity.startWindow.Set(2) // half full with one job
+	unread := h.request(2, idempotent)
+	unread.Request.Unread = 500 * ms
+	unread.Request.Deadline -= 500 * ms
+	h.step(unread)
+	h.wantActions(ActionSend, 1)
+	over := h.request(3, idempotent)
+	over.Request.Unread = 2 * second
+	over.Request.Deadline = h.now
+	h.step(over)
+	h.wantActions(ActionShed, 1)
+}
+
 // The queue of a tenant over its quota is always long. Sent in order of arrival, every job would have used up
 // its queue time, and a long queue time would only delay the tenant's other jobs.
 func TestPastQuotaNewestFirstAndShortQueueTime(t *testing.T) {
