--- a/internal/daemon/successor.go
+++ b/internal/daemon/successor.go
@@ -75,9 +75,9 @@
 	})
 }
 
-// adoptDiscovery makes the platform poll the predecessor's discovery, if the configuration file names it: a reload has moved
-// the predecessor there, and the variable LB_DISCOVERY that this process was started with is from before the reload. It
-// must be called before StartWatch.
+// adoptDiscovery makes the platform poll the predecessor's discovery, if the configuration file names it: a reload has
+// moved the predecessor there, and the variable LB_DISCOVERY that this process was started with is from before the
+// reload. It must be called before StartWatch.
 func (d *Daemon) adoptDiscovery(progress *handoverProgress) {
 	reloaded, err := config.Reload(d.options.Getenv)
 	if err != nil || reloaded.Discovery != progress.Discovery {
--- a/internal/daemon/takeover_test.go
+++ b/internal/daemon/takeover_test.go
@@ -171,9 +171,9 @@
 	}
 }
 
-// Guards against a successor that polls the address in its environment although a reload has moved its predecessor to the
-// one that the configuration file names. Nobody listens at the old address, so that the successor would never be notified
-// of a drain, and would take its list for the current one for any time.
+// Guards against a successor that polls the address in its environment although a reload has moved its predecessor to
+// the one that the configuration file names. Nobody listens at the old address, so that the successor would never be
+// notified of a drain, and would take its list for the current one for any time.
 func TestSuccessorPollsTheReloadedDiscovery(t *testing.T) {
 	a, first := startAdminFixture(t)
 	first.Kill()
--- a/internal/platform/attempt.go
+++ b/internal/platform/attempt.go
@@ -45,7 +45,8 @@
 }
 
 // execute gets a connection, exchanges the request and the answer on it, and returns the final report. Nothing is sent,
-// and the code is NotSent, if the worker is not live, the endpoint list is stale or the attempt is no longer valid once there is a connection.
+// and the code is NotSent, if the worker is not live, the endpoint list is stale or the attempt is no longer valid once
+// there is a connection.
 func (a *attempt) execute() core.Report {
 	a.trace.startedAt = time.Now()
 	a.pool.inFlight.add(a)
@@ -126,8 +127,9 @@
 }
 
 // stillValid reports whether the attempt may still be sent: the worker's entry in the endpoint table is unchanged
-// and live, the list is not stale, the core has not withdrawn the attempt, and the job is neither answered nor its client disconnected. The
-// job is checked even if the settings forbid cancelling attempts: that applies only to attempts whose request was sent.
+// and live, the list is not stale, the core has not withdrawn the attempt, and the job is neither answered nor its
+// client disconnected. The job is checked even if the settings forbid cancelling attempts: that applies only to
+// attempts whose request was sent.
 func (a *attempt) stillValid(target endpoint) bool {
 	now, ok := a.pool.findUsable(a.worker)
 	return ok && now == target && a.ctx.Err() == nil && !a.job.Finished()
--- a/internal/platform/endpoint_watch.go
+++ b/internal/platform/endpoint_watch.go
@@ -141,7 +141,8 @@
 	return w.discovery
 }
 
-// setAddress changes the address of the discovery that is polled, before the first call. It has no effect after switchTo.
+// setAddress changes the address of the discovery that is polled, before the first call. It has no effect after
+// switchTo.
 func (w *endpointWatch) setAddress(address string) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
--- a/queue_test.go
+++ b/queue_test.go
@@ -53,8 +53,8 @@
 	}
 }
 
-// Guards against a job that is shed although a worker is free, because it comes in the step of a tick: its queue time was
-// compared with the maximum, the least possible one here, before a worker was looked for.
+// Guards against a job that is shed although a worker is free, because it comes in the step of a tick: its queue time
+// was compared with the maximum, the least possible one here, before a worker was looked for.
 func TestJobInStepOfTickIsSent(t *testing.T) {
 	cfg := testConfig()
 	cfg.Dispatchers = 2
@@ -74,8 +74,8 @@
 	}
 }
 
-// Guards against jobs that are shed as late although there is capacity and time, because they have waited in the backlog
-// of the host: that time shortens their deadline, but is no sign of a late retry or of a long queue.
+// Guards against jobs that are shed as late although there is capacity and time, because they have waited in the
+// backlog of the host: that time shortens their deadline, but is no sign of a late retry or of a long queue.
 func TestUnreadTimeCountsTowardsDeadlineAlone(t *testing.T) {
 	h := newHarness(t, testConfig(), testWorkers(2)...)
 	h.step(h.request(1, idempotent))
