An invalid request of a connection that is to make room gets its answer

Seen in rereading: a request that is found invalid after its connection was marked to make room (evicted) is closed without an answer, and counted as bad.evicted. A client in a crowd that sent bad input got no 4xx.

Cause: exchange (internal/platform/client_conn.go) took every inputError of such a connection for the timeout. Change: only the timeout of an incomplete request (408) is left unanswered.

Result: TestInvalidRequestOfEvictedConnectionIsAnswered fails before (unexpected EOF) and passes.

--- a/internal/platform/client_conn.go
+++ b/internal/platform/client_conn.go
@@ -177,7 +177,7 @@
 	var inputErr *inputError
 	bodyDropped := errors.Is(err, errBodyDropped)
 	switch {
-	case errors.As(err, &inputErr) && c.evicted.Load():
+	case errors.As(err, &inputErr) && inputErr.status == http.StatusRequestTimeout && c.evicted.Load():
 		c.server.counters.Add("bad.evicted")
 		return false
 	case errors.As(err, &inputErr):
@@ -211,8 +211,8 @@
 	return c.writeReply(c.formatAnswer(answer), closeAfter || mustClose || overCellLimit)
 }
 
-// unreadTime returns how long the last byte of a connection's first request has waited to be read, if the connection was
-// in the listener's backlog; 0 for up to maxUncountedWait, and for later requests, which are read when they arrive.
+// unreadTime returns how long the last byte of a connection's first request has waited to be read, if the connection
+// was in the listener's backlog; 0 for up to maxUncountedWait, and for later requests, which are read when they arrive.
 // The kernel's figure counts only within a wait that this process has measured itself.
 func (c *clientConn) unreadTime() time.Duration {
 	if !c.answeredAt.IsZero() || c.waitingSince.IsZero() {
--- a/internal/platform/client_server_test.go
+++ b/internal/platform/client_server_test.go
@@ -276,6 +276,24 @@
 	check(t, "status", r.StatusCode, http.StatusOK)
 }
 
+// A request that is invalid must get its 4xx, even if its connection was to be closed for want of capacity meanwhile:
+// only one that has not come to its end is closed without an answer.
+func TestInvalidRequestOfEvictedConnectionIsAnswered(t *testing.T) {
+	p, set := start(t, "", newTestWorker(t, serveJob))
+	near, far := pipe(t)
+	c := &clientConn{server: p.clients, conn: near, buf: readBuffer{conn: near}, openedAt: time.Now()}
+	c.evicted.Store(true)
+	writeText(t, far, "what is this\r\n\r\n")
+	c.exchange()
+	near.Close()
+	r, _, err := readAnswer(bufio.NewReader(far))
+	if err != nil {
+		t.Fatal(err)
+	}
+	check(t, "status", r.StatusCode, http.StatusBadRequest)
+	check(t, "counter bad.evicted", set.Get("bad.evicted"), int64(0))
+}
+
 // After the budget was reduced below the number of open jobs, as at the start of an upgrade, a new request must be read
 // and shed. It must not wait unread until some of these jobs have ended.
 func TestRequestIsReadAfterBudgetWasReduced(t *testing.T) {
