--- a/admission.go
+++ b/admission.go
@@ -122,7 +122,8 @@
 			q := &t.queues[k]
 			for n := 0; n < len(q.jobs); {
 				j := q.jobs[n]
-				if j.addedAt == d.now != addedInStep || !d.isExpired(j) {
+				isNew := j.addedAt == d.now
+				if isNew != addedInStep || !d.isExpired(j) {
 					n++
 					continue
 				}
