The first jobs of a scheduler may wait in the queue

Callers of a scheduler that has just started got 503 within a tick when all workers were busy, with 9 s of their deadline and all of their objective left.

Ruled out: age from the backlog (Unread 0 in all), refusals by the core (none).

Change: latestStart, used in both places, is at least half of timelyLimit while no running times are measured. TestJobInStepOfTickIsSent needs the least queue time and restores measured runs for it; its checks are the same.

Result: TestFirstJobsMayWait fails before in all six cases and passes.

--- a/admission.go
+++ b/admission.go
@@ -85,7 +85,19 @@
 	if j.tenant.quota.ExceedsQuota() {
 		return max(1, j.class.LatencyObjective/divisor)
 	}
-	return max(1, d.timelyLimit(j)-runs*j.class.runtimes.Median()-d.capacity.startDelays.Bound(2))
+	return max(1, d.latestStart(j, runs)-d.capacity.startDelays.Bound(2))
+}
+
+// latestStart returns the age in nanoseconds up to which the given number of median runs of a job still end
+// by timelyLimit. It is at least half of timelyLimit while no running times of the class are measured: the
+// median is the whole objective then, which would leave a job no time to wait.
+func (d *Dispatcher) latestStart(j *job, runs int64) int64 {
+	limit := d.timelyLimit(j)
+	start := limit - runs*j.class.runtimes.Median()
+	if !j.class.runtimes.Measured() {
+		return max(start, limit/2)
+	}
+	return start
 }
 
 // newestFirst reports whether the newest job of a tenant's queue is sent first. It is the one with the most
--- a/attempts.go
+++ b/attempts.go
@@ -183,7 +183,7 @@
 			j.class.loop.SampleLate()
 		}
 		if d.manyDispatchers() && a.startedAt == 0 && !j.ended && j.class.Effect == Idempotent &&
-			d.now-j.firstAttemptAt >= d.timelyLimit(j)-j.class.runtimes.Median() {
+			d.now-j.firstAttemptAt >= d.latestStart(j, 1) {
 			// The job can no longer meet its objective, and starting it now would make later jobs late.
 			d.abandon(j, d.retryAfter())
 			continue
--- a/internal/decision/admission/runtimes.go
+++ b/internal/decision/admission/runtimes.go
@@ -17,6 +17,9 @@
 // Median returns the median of the recent running times.
 func (r *Runtimes) Median() int64 { return r.median }
 
+// Measured reports whether there are enough running times for the quantiles.
+func (r *Runtimes) Measured() bool { return len(r.recent) >= minSamples }
+
 // LowerQuartile returns the lower quartile of the recent running times.
 func (r *Runtimes) LowerQuartile() int64 { return r.lowerQuartile }
 
@@ -35,7 +38,7 @@
 
 // Update recomputes the quantiles if there are at least minSamples running times.
 func (r *Runtimes) Update() {
-	if len(r.recent) < minSamples {
+	if !r.Measured() {
 		return
 	}
 	var buffer [maxRuntimes]int64
--- a/queue_test.go
+++ b/queue_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 
 	"github.com/vatu-meals/foxlift/internal/decision/admission"
@@ -59,11 +60,13 @@
 	cfg := testConfig()
 	cfg.Dispatchers = 2
 	for i := range cfg.Classes {
-		cfg.Classes[i].ObjectiveStretch = 0 // leaves no time for two runs, which count before any has ended
+		cfg.Classes[i].ObjectiveStretch = 0 // leaves no time for two runs of the objective
 	}
 	for class := range cfg.Classes {
 		for _, workers := range []int{1, 0} {
 			h := newHarness(t, cfg, testWorkers(workers)...)
+			objective := cfg.Classes[class].LatencyObjective
+			h.d.classes[class].runtimes.Restore(objective, objective, slices.Repeat([]int64{objective}, 8))
 			h.now = h.d.timing.nextTickAt
 			e := h.request(1, class)
 			e.Request.Waited = ms
@@ -74,6 +77,40 @@
 	}
 }
 
+// Guards against jobs that are shed within a tick when all workers are busy, because no run of their class has ended
+// yet and a run is expected to take the whole objective.
+func TestFirstJobsMayWait(t *testing.T) {
+	few := testConfig()
+	few.Dispatchers = 2
+	for name, cfg := range map[string]Config{"few": few, "many": manyConfig()} {
+		for class := range cfg.Classes {
+			t.Run(fmt.Sprintf("%s %s", name, cfg.Classes[class].Name), func(t *testing.T) {
+				cfg.Classes[class].ObjectiveStretch = 0
+				h := newHarness(t, cfg, testWorkers(1)...)
+				queued := uint64(1)
+				var outcomes []Event
+				for h.step(h.request(queued, class)); len(h.actionsOf(ActionSend)) > 0; h.step(h.request(queued, class)) {
+					outcomes = append(outcomes, outcome(queued, 0, "w0", Served))
+					queued++
+				}
+				h.advance(h.d.tickInterval)
+				h.wantActions(ActionShed, 0)
+				h.step(outcomes...)
+				if a := h.wantActions(ActionSend, 1)[0]; a.ID != queued {
+					t.Errorf("job %d was sent, want %d", a.ID, queued)
+				}
+
+				h = newHarness(t, cfg) // without a worker it waits for half of its objective
+				h.step(h.request(1, class))
+				h.advance(h.d.tickInterval)
+				h.wantActions(ActionShed, 0)
+				h.advance(cfg.Classes[class].LatencyObjective/2 - h.d.tickInterval)
+				h.wantActions(ActionShed, 1)
+			})
+		}
+	}
+}
+
 // Guards against jobs that are shed as late although there is capacity and time, because they have waited in the
 // backlog of the host: that time shortens their deadline, but is no sign of a late retry or of a long queue.
 func TestUnreadTimeCountsTowardsDeadlineAlone(t *testing.T) {
