A poll under way at the end of the slow start trial is no overloaded discovery

Cause: DiscoveryIdle was the number of calls at discovery in one instant, and a call that is being served counts.

Change: discovery counts as idle if its queue is empty before it has answered one more call for each scheduler. The bound is one of calls, not of time; a discovery with more calls than it can serve is not idle.

--- a/internal/lab/fleet/fleet_test.go
+++ b/internal/lab/fleet/fleet_test.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"io"
 	"net/http"
+	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -289,3 +291,49 @@
 		}
 	}
 }
+
+// callDiscovery asks discovery for the complete list.
+func callDiscovery(t *testing.T, d *standin.Discovery) {
+	request, err := http.NewRequestWithContext(t.Context(), http.MethodGet, "http://"+d.Addr().String()+"/", nil)
+	if err != nil {
+		t.Error(err)
+		return
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		t.Error(err)
+		return
+	}
+	response.Body.Close()
+}
+
+// Guards against a trial that takes a single poll at its end for an overloaded discovery, or an overloaded discovery
+// for an idle one.
+func TestBecomesIdle(t *testing.T) {
+	const callers, polls = 16, 5
+	for name, test := range map[string]struct {
+		repeat, want bool
+	}{"one call each": {false, true}, "calls without end": {true, false}} {
+		t.Run(name, func(t *testing.T) {
+			d, err := standin.StartDiscovery()
+			must(t, err)
+			defer d.Close()
+			d.CallCost = standin.CallCost{PerCall: polls * idlePollInterval, MaxWait: time.Minute}
+			var stopping atomic.Bool
+			var clients sync.WaitGroup
+			for range callers {
+				clients.Go(func() {
+					for repeat := true; repeat && !stopping.Load(); repeat = test.repeat {
+						callDiscovery(t, d)
+					}
+				})
+			}
+			await(t, "calls wait for discovery", func() bool { return d.Calls().Waiting > 0 })
+			if got := becomesIdle(d, callers); got != test.want {
+				t.Errorf("becomesIdle() = %v, want %v", got, test.want)
+			}
+			stopping.Store(true)
+			clients.Wait()
+		})
+	}
+}
--- a/internal/lab/fleet/slowstart_trial.go
+++ b/internal/lab/fleet/slowstart_trial.go
@@ -44,7 +44,7 @@
 	Tally                               standin.Tally
 	DuplicateJobs                       int     // at-most-once jobs that ran more than once
 	CleanExit                           bool    // all schedulers exited with code 0 after SIGTERM
-	DiscoveryIdle                       bool    // no call waited for discovery at the end
+	DiscoveryIdle                       bool    // discovery's queue became empty at the end: see becomesIdle
 	FinalServedPercent                  float64 // in the last third of the trial
 }
 
@@ -218,7 +218,23 @@
 	calls := f.Discovery.Calls()
 	r.MaxCallsPerSecond = calls.MaxPerSecond
 	r.RejectedCallsPercent = percent(int64(calls.Rejected), int64(calls.Received))
-	r.DiscoveryIdle = calls.Waiting == 0
+	r.DiscoveryIdle = becomesIdle(f.Discovery, r.Schedulers)
+}
+
+const idlePollInterval = time.Millisecond
+
+// becomesIdle reports whether discovery's queue is empty now, or becomes empty by the time it has answered a number of
+// further calls. A discovery that gets more calls than it can serve does not become idle. The caller passes one call
+// for each scheduler: each may be polling just now.
+func becomesIdle(d *standin.Discovery, calls int) bool {
+	first := d.Calls()
+	for now := first; now.Waiting > 0; now = d.Calls() {
+		if now.Answered+now.Rejected-first.Answered-first.Rejected >= calls {
+			return false
+		}
+		<-time.After(idlePollInterval)
+	}
+	return true
 }
 
 // percent returns part as a percentage of whole; 0 if whole is 0.
