--- a/cmd/foxlift/process_test.go
+++ b/cmd/foxlift/process_test.go
@@ -14,6 +14,8 @@
 	"syscall"
 	"testing"
 	"time"
+
+	"github.com/vatu-meals/foxlift/internal/dialtest"
 )
 
 // Environment variables for the test binary.
@@ -162,12 +164,7 @@
 // dial opens a connection with a deadline of testTimeout. It is closed at the end of the test.
 func dial(t *testing.T, address string) *connection {
 	t.Helper()
-	var dialer net.Dialer
-	c, err := dialer.DialContext(t.Context(), "tcp", address)
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { c.Close() })
+	c := dialtest.Dial(t, "tcp", address)
 	c.SetDeadline(time.Now().Add(testTimeout))
 	return &connection{c, bufio.NewReader(c)}
 }
--- a/internal/admin/admin_test.go
+++ b/internal/admin/admin_test.go
@@ -13,6 +13,8 @@
 	"time"
 
 	"go.uber.org/zap"
+
+	"github.com/vatu-meals/foxlift/internal/dialtest"
 )
 
 // connTimeout is the deadline of a test's connection, also on a slow machine.
@@ -47,12 +49,7 @@
 // dial opens a connection that is closed at the end of the test, and writes text to it.
 func dial(t *testing.T, address, text string) net.Conn {
 	t.Helper()
-	var dialer net.Dialer
-	conn, err := dialer.DialContext(t.Context(), "tcp", address)
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { conn.Close() })
+	conn := dialtest.Dial(t, "tcp", address)
 	conn.SetDeadline(time.Now().Add(connTimeout))
 	// The server may answer and close before the whole text is written.
 	fmt.Fprint(conn, text)
--- a/internal/control/control_test.go
+++ b/internal/control/control_test.go
@@ -18,6 +18,7 @@
 	"github.com/vatu-meals/foxlift/internal/control/controlpb"
 	"github.com/vatu-meals/foxlift/internal/core"
 	"github.com/vatu-meals/foxlift/internal/counters"
+	"github.com/vatu-meals/foxlift/internal/dialtest"
 )
 
 // testTimeout bounds the calls of a test.
@@ -139,26 +140,14 @@
 // errorOf returns the error of a call and drops its result.
 func errorOf[T any](_ T, err error) error { return err }
 
-// dial opens a connection that is closed at the end of the test.
-func dial(t *testing.T, path string) net.Conn {
-	t.Helper()
-	var dialer net.Dialer
-	conn, err := dialer.DialContext(t.Context(), "unix", path)
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { conn.Close() })
-	return conn
-}
-
 // Clients that send nothing or garbage delay neither the core nor, as long as they leave one of maxConnections free,
 // other clients.
 func TestMisbehavingClients(t *testing.T) {
 	srv, path, client := startServer(t)
 	for range maxConnections - 2 {
-		dial(t, path)
+		dialtest.Dial(t, "unix", path)
 	}
-	if _, err := dial(t, path).Write([]byte("GET / HTTP/1.1\r\n\r\n")); err != nil {
+	if _, err := dialtest.Dial(t, "unix", path).Write([]byte("GET / HTTP/1.1\r\n\r\n")); err != nil {
 		t.Fatal(err)
 	}
 	ctx, cancel := context.WithTimeout(t.Context(), testTimeout)
--- a/internal/daemon/daemon_test.go
+++ b/internal/daemon/daemon_test.go
@@ -8,6 +8,8 @@
 	"strings"
 	"testing"
 	"time"
+
+	"github.com/vatu-meals/foxlift/internal/dialtest"
 )
 
 // Over real sockets, each tenant's jobs run on the workers of its cell, and after a migration on the workers of
@@ -124,7 +126,7 @@
 	closed := map[string]int{}
 	for i := range 6 {
 		for _, tenant := range []string{"islands", "central-belt"} {
-			c := dial(t, f.Addr().String())
+			c := dialtest.Dial(t, "tcp", f.Addr().String())
 			if post(t, c, fmt.Sprint(tenant, i), tenant) {
 				closed[tenant]++
 			}
--- a/internal/daemon/fixture_test.go
+++ b/internal/daemon/fixture_test.go
@@ -3,7 +3,6 @@
 import (
 	"encoding/json"
 	"fmt"
-	"net"
 	"os"
 	"path/filepath"
 	"testing"
@@ -189,15 +188,3 @@
 	}
 	return runs
 }
-
-// dial opens a connection that is closed at the end of the test.
-func dial(t *testing.T, address string) net.Conn {
-	t.Helper()
-	var dialer net.Dialer
-	c, err := dialer.DialContext(t.Context(), "tcp", address)
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { c.Close() })
-	return c
-}
--- a/internal/platform/helpers_test.go
+++ b/internal/platform/helpers_test.go
@@ -16,6 +16,7 @@
 	"github.com/vatu-meals/foxlift/internal/config"
 	"github.com/vatu-meals/foxlift/internal/core"
 	"github.com/vatu-meals/foxlift/internal/counters"
+	"github.com/vatu-meals/foxlift/internal/dialtest"
 	"github.com/vatu-meals/foxlift/internal/standin"
 )
 
@@ -71,12 +72,7 @@
 // dial opens a connection that is closed at the end of the test.
 func dial(t *testing.T, addr net.Addr) net.Conn {
 	t.Helper()
-	c, err := (&net.Dialer{}).DialContext(t.Context(), "tcp", addr.String())
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { c.Close() })
-	return c
+	return dialtest.Dial(t, "tcp", addr.String())
 }
 
 // listen opens a listener on a free port that is closed at the end of the test.
--- a/internal/upgrade/socket_test.go
+++ b/internal/upgrade/socket_test.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"golang.org/x/sys/unix"
+
+	"github.com/vatu-meals/foxlift/internal/dialtest"
 )
 
 const (
@@ -38,23 +40,11 @@
 	return c
 }
 
-// dial opens a connection that is closed at the end of the test.
-func dial(t *testing.T, network string, address net.Addr) net.Conn {
-	t.Helper()
-	var dialer net.Dialer
-	c, err := dialer.DialContext(t.Context(), network, address.String())
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { c.Close() })
-	return c
-}
-
 // openConnections opens connections to a listener, which remain in its accept queue.
 func openConnections(t *testing.T, l net.Listener) (opened []net.Conn) {
 	t.Helper()
 	for range connections {
-		c := dial(t, "tcp", l.Addr())
+		c := dialtest.Dial(t, "tcp", l.Addr().String())
 		c.SetDeadline(time.Now().Add(ioTimeout))
 		opened = append(opened, c)
 	}
@@ -149,7 +139,7 @@
 		t.Fatal(err)
 	}
 	for i := range 20 {
-		sender := dial(t, "udp", successor.LocalAddr())
+		sender := dialtest.Dial(t, "udp", successor.LocalAddr().String())
 		if _, err := sender.Write([]byte{byte(i)}); err != nil {
 			t.Fatal(err)
 		}
