Products and sums of decisions are rounded alike on arm64 and x86-64

The packages of decisions, cells and core had 57 fused instructions for arm64 in 32 lines.

Cause: Go may round a product and a sum once. The compiler does so on arm64, not on x86-64.

Change: these products are converted to float64, which forbids it.

Result: no fused instruction is left there. TestReplay passes on arm64 with GOENV=off GOFLAGS= and no recording is made anew. The compiled code for x86-64 has the same operations as before in all six packages, only with other registers in three of them; benchmarks were not run there. Open: math.Exp and math.Log differ in code between the processors.

--- a/gossip.go
+++ b/gossip.go
@@ -36,11 +36,12 @@
 // countAttempt adds an attempt that begins (sign 1) to its worker's usage, or subtracts an ended one (sign -1).
 func (d *Dispatcher) countAttempt(a *attempt, sign float64) {
 	w := a.worker
-	w.usedSlots += sign * a.slots
-	w.report.AddSentSlots(sign * a.slots)
-	w.usedMemory += sign * a.job.req.Memory
+	slots := float64(sign * a.slots)
+	w.usedSlots += slots
+	w.report.AddSentSlots(slots)
+	w.usedMemory += float64(sign * a.job.req.Memory)
 	w.inFlightJobs += int(sign)
-	d.capacity.inFlightSlots += sign * a.slots
+	d.capacity.inFlightSlots += slots
 	if d.exchangesUsage() && !w.dirty {
 		w.dirty = true
 		d.exchange.changed = append(d.exchange.changed, w)
--- a/health.go
+++ b/health.go
@@ -106,7 +106,7 @@
 		j.class.loop.Sample(float64(d.now-j.arrivedAt) / float64(j.objective))
 	}
 	ratio := min(float64(took)/float64(max(1, j.class.runtimes.Median())), maxLatencyRatio)
-	w.latencyRatio += (ratio - w.latencyRatio) / latencyRatioWeight
+	w.latencyRatio += float64((ratio - w.latencyRatio) / latencyRatioWeight)
 	w.outlier.RecordSuccess()
 	if !d.inSlowStart(w) {
 		// The rate counts jobs served rather than sent: jobs that were shed do not show capacity.
--- a/internal/cells/rendezvous.go
+++ b/internal/cells/rendezvous.go
@@ -48,7 +48,7 @@
 }
 
 // uniform maps a hash to a number greater than 0 and less than 1.
-func uniform(hash uint64) float64 { return (float64(mix(hash)>>11) + 0.5) / (1 << 53) }
+func uniform(hash uint64) float64 { return float64((float64(mix(hash)>>11) + 0.5) / (1 << 53)) }
 
 // mix is the 64-bit finalizer of MurmurHash3: every bit of x affects every bit of the result.
 func mix(x uint64) uint64 {
--- a/internal/core/cell_workers.go
+++ b/internal/core/cell_workers.go
@@ -67,7 +67,7 @@
 	if w == nil || c.placement.Load() == nil {
 		return
 	}
-	w.inFlight[a.cell] += sign * a.job.slots()
+	w.inFlight[a.cell] += float64(sign * a.job.slots())
 	if w.inFlight[a.cell] <= slotTolerance {
 		delete(w.inFlight, a.cell)
 	}
--- a/internal/decision/admission/allocator.go
+++ b/internal/decision/admission/allocator.go
@@ -119,7 +119,7 @@
 	// A low gain: a dispatcher's fraction of the traffic is stable, but a short burst of all tenants looks the
 	// same as a larger fraction.
 	gain := max(trafficFractionGain, 1/float64(periods+1))
-	a.trafficFraction += (a.measuredFraction() - a.trafficFraction) * gain
+	a.trafficFraction += float64((a.measuredFraction() - a.trafficFraction) * gain)
 	fraction := a.ownFraction()
 	rates, excess := splitRate(admissionRate, a.bands, len(a.tenants))
 	for i := range a.tenants {
@@ -151,7 +151,7 @@
 	}
 	slices.SortFunc(ratios, func(x, y [2]float64) int { return cmp.Compare(x[0], y[0]) })
 	for _, r := range ratios {
-		if sum -= 3 * r[1]; sum <= 0 {
+		if sum -= float64(3 * r[1]); sum <= 0 {
 			return max(even, r[0])
 		}
 	}
@@ -166,7 +166,7 @@
 	for i := range a.tenants {
 		a.burstTokens += a.tenants[i].refill(seconds)
 	}
-	a.burstTokens += a.burstRate * seconds
+	a.burstTokens += float64(a.burstRate * seconds)
 	a.burstTokens = min(a.burstTokens, maxBurst)
 }
 
--- a/internal/decision/admission/loop.go
+++ b/internal/decision/admission/loop.go
@@ -76,7 +76,7 @@
 		if next.parameters[1] > 0 {
 			l.fit = next
 		}
-		input = (1 - l.fit.parameters[0]*w - l.fit.parameters[2]*l.input) / l.fit.parameters[1]
+		input = (1 - float64(l.fit.parameters[0]*w) - float64(l.fit.parameters[2]*l.input)) / l.fit.parameters[1]
 		input = min(max(input, 0), 1)
 	}
 	l.previousOutput, l.previousInput, l.input = w, l.input, input
--- a/internal/decision/admission/model.go
+++ b/internal/decision/admission/model.go
@@ -43,14 +43,14 @@
 	denominator, residual := forgettingFactor, w
 	for i := range px {
 		for k := range x {
-			px[i] += m.covariance[i][k] * x[k]
+			px[i] += float64(m.covariance[i][k] * x[k])
 		}
-		denominator += x[i] * px[i]
-		residual -= m.parameters[i] * x[i]
+		denominator += float64(x[i] * px[i])
+		residual -= float64(m.parameters[i] * x[i])
 	}
 	trace := 0.0
 	for i := range px {
-		m.parameters[i] += px[i] / denominator * residual
+		m.parameters[i] += float64(px[i] / denominator * residual)
 		for k := range px {
 			m.covariance[i][k] -= px[i] * px[k] / denominator
 		}
--- a/internal/decision/admission/rate.go
+++ b/internal/decision/admission/rate.go
@@ -55,7 +55,7 @@
 // half of them. It reports whether it is this dispatcher's turn to run its loops even if they have few
 // samples. The dispatchers take turns, one in each period.
 func (c *RateController) BeginPeriod() (turn bool) {
-	c.state.OfferedRate += (float64(c.arrivals) - c.state.OfferedRate) * RateGain
+	c.state.OfferedRate += float64((float64(c.arrivals) - c.state.OfferedRate) * RateGain)
 	c.state.OfferedRate = max(c.state.OfferedRate, float64(c.arrivals)/headroom)
 	c.arrivals = 0
 	c.state.Periods++
--- a/internal/decision/admission/tenant.go
+++ b/internal/decision/admission/tenant.go
@@ -65,7 +65,7 @@
 
 // closePeriod ends a period of one second: it updates the offered rate and decays the counts.
 func (t *Tenant) closePeriod() {
-	t.offeredRate += (float64(t.arrivals) - t.offeredRate) * RateGain
+	t.offeredRate += float64((float64(t.arrivals) - t.offeredRate) * RateGain)
 	t.arrivals = 0
 	t.excessSends *= 1 - RateGain
 	for k := range t.classArrived {
@@ -86,7 +86,7 @@
 
 // refill adds the tokens for a time in seconds and returns those that the full bucket cannot take.
 func (t *Tenant) refill(seconds float64) (excess float64) {
-	t.tokens += t.rate * seconds
+	t.tokens += float64(t.rate * seconds)
 	if excess = t.tokens - t.maxTokens(); excess > 0 {
 		t.tokens -= excess
 		return excess
--- a/internal/decision/capacity/mean.go
+++ b/internal/decision/capacity/mean.go
@@ -15,11 +15,11 @@
 		m.Average, m.Deviation = value, value/2
 		return
 	}
-	m.Deviation += (math.Abs(value-m.Average) - m.Deviation) / meanWeight
-	m.Average += (value - m.Average) / meanWeight
+	m.Deviation += float64((math.Abs(value-m.Average) - m.Deviation) / meanWeight)
+	m.Average += float64((value - m.Average) / meanWeight)
 }
 
 // Bound returns the average plus a number of mean deviations, truncated to an integer.
 func (m *MovingMean) Bound(deviations float64) int64 {
-	return int64(m.Average + deviations*m.Deviation)
+	return int64(m.Average + float64(deviations*m.Deviation))
 }
--- a/internal/decision/capacity/report.go
+++ b/internal/decision/capacity/report.go
@@ -110,7 +110,7 @@
 		return p.fleetPressure.Average
 	}
 	age := float64(now-r.receivedAt) / float64(p.decayTime)
-	return p.fleetPressure.Average + (p.ReportPressure(r, slots)-p.fleetPressure.Average)*math.Exp(-age)
+	return p.fleetPressure.Average + float64((p.ReportPressure(r, slots)-p.fleetPressure.Average)*math.Exp(-age))
 }
 
 // ReportPressure returns the pressure that a report shows for a job of so many slots, 0 to 1, at any age: 1
--- a/internal/decision/health/outlier.go
+++ b/internal/decision/health/outlier.go
@@ -87,7 +87,7 @@
 // the worker is an outlier and should be ejected. One error may be chance, but a worker that fails every job
 // fast has few in flight and would attract all jobs. On trial one failure is enough.
 func (o *Outlier) RecordFailure(weight float64) (outlier bool) {
-	o.state.FailureRate += (1 - o.state.FailureRate) * weight
+	o.state.FailureRate += float64((1 - o.state.FailureRate) * weight)
 	return o.state.FailureRate > maxFailureRate || o.state.Trial
 }
 
--- a/internal/decision/health/rate.go
+++ b/internal/decision/health/rate.go
@@ -41,7 +41,7 @@
 func (r *WorkerRate) Update(warmWorkers int, periods int64) {
 	if warmWorkers > 0 {
 		gain := max(r.gain, 1/float64(periods))
-		r.recent += (r.servedSlots/float64(warmWorkers) - r.recent) * gain
+		r.recent += float64((r.servedSlots/float64(warmWorkers) - r.recent) * gain)
 		r.peak = max(r.recent, r.peak*(1-r.peakDecay))
 	}
 	r.servedSlots = 0
--- a/internal/decision/health/slow_start.go
+++ b/internal/decision/health/slow_start.go
@@ -86,7 +86,7 @@
 		return 1
 	}
 	age := float64(now-w.startedAt) / float64(s.config.Duration)
-	return s.config.Capacity + (1-s.config.Capacity)*min(max(age, 0), 1)
+	return s.config.Capacity + float64((1-s.config.Capacity)*min(max(age, 0), 1))
 }
 
 // Ready reports whether a worker in slow start may get this dispatcher's next job. While no rate is known,
@@ -99,7 +99,7 @@
 	}
 	sentAge, age := float64(max(w.lastSentAt-w.startedAt, 0)), float64(max(now-w.startedAt, 0))
 	startCapacity, meanProgress := s.config.Capacity, (age+sentAge)/(2*float64(s.config.Duration))
-	possibleWork := (age - sentAge) * (startCapacity + (1-startCapacity)*meanProgress)
+	possibleWork := (age - sentAge) * (startCapacity + float64((1-startCapacity)*meanProgress))
 	return s.rate.peak*max(1, s.config.OverloadMultiple/2)*possibleWork >= w.lastWork
 }
 
@@ -134,7 +134,7 @@
 // objectives show little of how much heavier one job is than another, the excess over a light job counts
 // twice.
 func (s *SlowStart) EstimatedWork(slots float64, objective int64) float64 {
-	return 2*slots*float64(objective) - s.config.MinObjective
+	return float64(2*slots*float64(objective)) - s.config.MinObjective
 }
 
 // RecordSend records a job that is sent to a worker, if the worker is in slow start. While no rate is known,
@@ -147,7 +147,7 @@
 	if s.NeedsSlot(w, now) {
 		work = s.sentInSlot(w, now) + s.EstimatedWork(j.Slots, j.Objective)
 	} else {
-		work = j.Slots * float64(j.Runtime) * (0.75 + rng.Float64()/2)
+		work = j.Slots * float64(j.Runtime) * (0.75 + float64(rng.Float64()/2))
 	}
 	w.lastSentAt, w.lastWork = now, work
 }
--- a/placement.go
+++ b/placement.go
@@ -97,7 +97,7 @@
 		cost += crossZoneCost * d.cfg.Prices.CrossZone / min(d.fleetScale, 8)
 	}
 	if d.needsConnection(w) {
-		cost += 3 * d.cfg.Prices.Handshake
+		cost += float64(3 * d.cfg.Prices.Handshake)
 	}
 	cost += (w.latencyRatio - 1) / 3
 	switch {
--- a/replay_decisions_test.go
+++ b/replay_decisions_test.go
@@ -10,9 +10,7 @@
 const minRecordings = 10
 
 // TestReplay replays the recordings to new dispatchers: every step must return the recorded actions, and every
-// snapshot must equal the recorded bytes. The recordings are from amd64. Go may fuse a multiplication and an addition,
-// with only one rounding, on processors that have such an instruction (arm64 is one): there the test needs the compiler
-// flag -gcflags=all=-d=fmahash=qn, which keeps the compiler from it.
+// snapshot must equal the recorded bytes. The recordings are from amd64 and arm64: see docs/design/arithmetic.md.
 func TestReplay(t *testing.T) {
 	paths, err := filepath.Glob(recordings)
 	if err != nil || len(paths) < minRecordings {
--- a/worker_search.go
+++ b/worker_search.go
@@ -53,7 +53,7 @@
 	if j.req.Key != 0 && !cached && !w.cachedKeys.Contains(j.req.Key) {
 		extraCost += d.fetchCost(j)
 	}
-	if cost := d.placementCost(j, w) + extraCost + d.rng.Float64()*1e-3; cost < s.bestCost {
+	if cost := d.placementCost(j, w) + extraCost + float64(d.rng.Float64()*1e-3); cost < s.bestCost {
 		s.best, s.bestCost = w, cost
 	}
 }
@@ -65,7 +65,7 @@
 	workers := d.affinityWorkers(s.j)
 	for i, w := range workers {
 		if w.level >= 0 && (!w.report.Valid() || d.capacity.reports.ReportPressure(&w.report, s.j.req.Slots) < 1) {
-			fetchSaving := 4 * d.cfg.Prices.Fetch * (1 - float64(i)/float64(len(workers)))
+			fetchSaving := float64(4 * d.cfg.Prices.Fetch * (1 - float64(i)/float64(len(workers))))
 			s.consider(w, float64(w.level)-fetchSaving, true)
 		}
 	}
