Conversions to integers saturate on every processor, and settings must be finite

Seen (point 1 of the issue on equal decisions): Go leaves a conversion of a float that is out of range to the processor, and foxlift.New took settings that are infinite or not a number. The compiled code for arm64 has 23 lines in the program with such a conversion.

New refuses settings that are not finite by their field, and configuration refuses by its key a stretch whose sum is infinite.

--- a/admission.go
+++ b/admission.go
@@ -1,5 +1,7 @@
 package foxlift
 
+import "github.com/vatu-meals/foxlift/internal/saturate"
+
 // Admission control: which jobs are queued, for how long, and which are shed.
 
 // onRequest adds a new job. The job is queued, or waits for health checks before that. A job whose deadline
@@ -22,7 +24,7 @@
 	if req.Size > 0 {
 		size = req.Size
 	}
-	j.objective = c.LatencyObjective + int64(c.ObjectiveStretch*float64(size))
+	j.objective = c.LatencyObjective + saturate.Int64(c.ObjectiveStretch*float64(size))
 	// A client's retry has the deadline of the client's first attempt, and its objective counts from that
 	// attempt: a retry that is late already is worth nothing, and must not displace other jobs when capacity is
 	// short. The time of the first attempt is estimated from the deadline and the longest wait of any client.
@@ -115,7 +117,8 @@
 	if !d.manyDispatchers() || j.req.Size > 0 {
 		return j.objective
 	}
-	return j.class.LatencyObjective + int64(j.class.ObjectiveStretch*float64(j.class.runtimes.LowerQuartile()))
+	stretch := j.class.ObjectiveStretch * float64(j.class.runtimes.LowerQuartile())
+	return j.class.LatencyObjective + saturate.Int64(stretch)
 }
 
 // retryAfter returns the time after which a client should retry a job that was shed because capacity is
--- a/api.go
+++ b/api.go
@@ -147,8 +147,7 @@
 	return q
 }
 
-// validate returns an error that names the first invalid field of c, or nil if it finds none. Fields such as
-// Prices and SlowStartCapacity are not checked.
+// validate returns an error that names the first invalid field of c, or nil if it finds none.
 func (c *Config) validate() error {
 	if len(c.Classes) == 0 {
 		return errors.New("foxlift: Classes is empty")
@@ -209,7 +208,7 @@
 			return fmt.Errorf("foxlift: %s is negative: %d", f.name, f.time)
 		}
 	}
-	return nil
+	return c.checkFinite()
 }
 
 // A WorkerState is the state of a worker in the endpoint list.
--- a/health.go
+++ b/health.go
@@ -2,7 +2,10 @@
 
 // How attempts update the state of their workers: concurrency limit, ejection after failures, slow start.
 
-import "github.com/vatu-meals/foxlift/internal/decision/health"
+import (
+	"github.com/vatu-meals/foxlift/internal/decision/health"
+	"github.com/vatu-meals/foxlift/internal/saturate"
+)
 
 // recordSend counts an attempt that was just sent: in the usage, connections, cached keys and slow start of
 // its worker.
@@ -171,7 +174,7 @@
 	if w.state == Live && w.overdue == 0 && !w.outlier.Paused(d.now) &&
 		w.usedSlots < max(1, min(w.limit.Slots(), w.report.MaxSlots())) &&
 		(!w.outlier.OnTrial() || w.inFlightJobs == 0) && !d.capacity.slowStart.Defers(&w.warmup, d.now) {
-		level = int(w.usedSlots)
+		level = int(saturate.Int64(w.usedSlots))
 	}
 	if level != w.level {
 		d.free.setLevel(w, level)
--- a/internal/config/check.go
+++ b/internal/config/check.go
@@ -83,6 +83,8 @@
 		case class.ObjectiveStretch < 0:
 			return fmt.Errorf("grades[%d].aimStretch, familyInfo.classStretch[%d]: sum %g is negative",
 				i, i, class.ObjectiveStretch)
+		case math.IsInf(class.ObjectiveStretch, 0):
+			return fmt.Errorf("grades[%d].aimStretch, familyInfo.classStretch[%d]: sum is not finite", i, i)
 		case class.KeyTTL < 0:
 			return fmt.Errorf("grades[%d].keyTtl: %d is negative", i, class.KeyTTL)
 		case max(class.LatencyObjective, class.Deadline, class.KeyTTL) > maxSettingValue:
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -11,6 +11,8 @@
 	"net"
 	"os"
 	"strconv"
+
+	"github.com/vatu-meals/foxlift/internal/saturate"
 )
 
 // Bounds of the memory, in MiB, and the file descriptors of a scheduler. A larger limit in the file is reduced to
@@ -151,7 +153,8 @@
 			return fmt.Errorf("seed: %q is not a number of up to 16 hex digits", file.Seed)
 		}
 	}
-	s.MemoryMB, err = limitOrDefault("limits.memory_mb", int(file.Limits.MemoryMB), minMemoryMB, maxMemoryMB)
+	memoryMB := int(saturate.Int64(file.Limits.MemoryMB))
+	s.MemoryMB, err = limitOrDefault("limits.memory_mb", memoryMB, minMemoryMB, maxMemoryMB)
 	if err != nil {
 		return err
 	}
--- a/internal/config/errors_golden_test.go
+++ b/internal/config/errors_golden_test.go
@@ -64,6 +64,7 @@
 	{`"flavors"`, `"prices":{"crossZone":-1},"flavors"`},
 	{`"flavors"`, `"prices":{"handshake":-1},"flavors"`},
 	{`"flavors"`, `"prices":{"origin":-1},"flavors"`},
+	{`"flavors"`, `"obligations":{"fallMultiple":1e400},"flavors"`},
 	{`"flavors"`, `"report":{"names":["x0","x0"]},"flavors"`},
 	{`"flavors"`, `"report":{"names":[""]},"flavors"`},
 	{`"flavors"`, `"report":{"names":["a","b","c","d","e"]},"flavors"`},
@@ -80,6 +81,10 @@
 		_, err := load(t, strings.Replace(validSettings, c.old, c.new, 1), nil)
 		fmt.Fprintf(&b, "%s for %s\n\t%v\n", c.new, c.old, err)
 	}
+	// The sum of two numbers may be infinite although each is finite.
+	sum := strings.Replace(validSettings, `"aim":5`, `"aim":5,"aimStretch":1.7e308`, 1)
+	_, err := load(t, strings.Replace(sum, `"classStretch":[2.5`, `"classStretch":[1.7e308`, 1), nil)
+	fmt.Fprintf(&b, "an infinite sum\n\t%v\n", err)
 	golden.Check(t, "settings-faults.txt", []byte(b.String()))
 }
 
--- a/internal/decision/capacity/mean.go
+++ b/internal/decision/capacity/mean.go
@@ -2,7 +2,11 @@
 
 // An exponentially weighted moving mean. Nothing is decided here.
 
-import "math"
+import (
+	"math"
+
+	"github.com/vatu-meals/foxlift/internal/saturate"
+)
 
 const meanWeight = 64 // a new value has weight 1/64
 
@@ -21,5 +25,5 @@
 
 // Bound returns the average plus a number of mean deviations, truncated to an integer.
 func (m *MovingMean) Bound(deviations float64) int64 {
-	return int64(m.Average + float64(deviations*m.Deviation))
+	return saturate.Int64(m.Average + float64(deviations*m.Deviation))
 }
--- a/internal/decision/gossip/message.go
+++ b/internal/decision/gossip/message.go
@@ -12,6 +12,8 @@
 import (
 	"encoding/binary"
 	"math"
+
+	"github.com/vatu-meals/foxlift/internal/saturate"
 )
 
 // The message format, little endian: a header (kind, incarnation, sequence), the admission rate in a complete
@@ -88,7 +90,7 @@
 }
 
 // roundToByte rounds x to the nearest integer from 0 to 255.
-func roundToByte(x float64) uint32 { return uint32(min(max(math.Round(x), 0), 255)) }
+func roundToByte(x float64) uint32 { return uint32(saturate.Int64(min(max(math.Round(x), 0), 255))) }
 
 // Decode decodes data into m, reusing the space of m.Usages. It reports whether the message is valid: of a
 // known kind, with a whole number of usages and no negative or NaN rate. If not, the contents of m are
--- a/internal/lab/mutants.go
+++ b/internal/lab/mutants.go
@@ -143,8 +143,8 @@
 	{
 		Name:    "the slots of an ended attempt are not freed in the dispatcher",
 		File:    "gossip.go",
-		Old:     "\tw.usedSlots += sign * a.slots\n",
-		New:     "\tif sign > 0 {\n\t\tw.usedSlots += sign * a.slots\n\t}\n",
+		Old:     "\tw.usedSlots += slots\n",
+		New:     "\tif sign > 0 {\n\t\tw.usedSlots += slots\n\t}\n",
 		Package: "./internal/core",
 		Run:     modelFuzz,
 	},
--- a/internal/slowstart/slots.go
+++ b/internal/slowstart/slots.go
@@ -3,7 +3,11 @@
 // It computes with a shared clock and has no state.
 package slowstart
 
-import "math/bits"
+import (
+	"math/bits"
+
+	"github.com/vatu-meals/foxlift/internal/saturate"
+)
 
 const (
 	maxSlotsPerWindow = 8  // maximum number of time slots in a window
@@ -49,6 +53,6 @@
 // but from 2 to 2^maxHeavyExponent. As all n are powers of two from 2 on, no two such slots of a worker are
 // adjacent, even if schedulers estimate different weights for a job.
 func (s Slots) AllowsHeavy(slot int64, worker uint64, weight float64) bool {
-	period := uint64(1) << min(maxHeavyExponent, max(1, bits.Len64(uint64(max(0, weight)))))
+	period := uint64(1) << min(maxHeavyExponent, max(1, bits.Len64(uint64(saturate.Int64(max(0, weight))))))
 	return (uint64(slot)+worker>>33)%period == 0
 }
--- a/internal/wire/decode_endpoints.go
+++ b/internal/wire/decode_endpoints.go
@@ -6,6 +6,7 @@
 	"github.com/valyala/fastjson"
 
 	"github.com/vatu-meals/foxlift"
+	"github.com/vatu-meals/foxlift/internal/saturate"
 )
 
 // minEndpointFields is the minimum number of values in an endpoint list entry.
@@ -72,7 +73,7 @@
 	if err != nil {
 		return worker, err
 	}
-	worker.Cell = int(cell)
+	worker.Cell = int(saturate.Int64(cell))
 	state, err := readString(fields[4], "stageState")
 	if err != nil {
 		return worker, err
--- a/internal/wire/decode_events.go
+++ b/internal/wire/decode_events.go
@@ -8,6 +8,7 @@
 
 	"github.com/vatu-meals/foxlift"
 	"github.com/vatu-meals/foxlift/internal/config"
+	"github.com/vatu-meals/foxlift/internal/saturate"
 )
 
 // The bits of stateBits in an "accept" message.
@@ -58,10 +59,11 @@
 	if err != nil {
 		return err
 	}
-	if int64(stateBits)&stateBitSize != 0 {
-		request.Size = int64(hint)
+	bits := saturate.Int64(stateBits)
+	if bits&stateBitSize != 0 {
+		request.Size = saturate.Int64(hint)
 	}
-	request.ClientRetry = int64(stateBits)&stateBitRetry != 0
+	request.ClientRetry = bits&stateBitRetry != 0
 	if request.Slots, err = readOptionalNumber(fields[7], "slots"); err != nil {
 		return err
 	}
