--- a/arithmetic_test.go
+++ b/arithmetic_test.go
@@ -16,7 +16,7 @@
 	t.Helper()
 	arguments := append([]string{"build", "-gcflags=-S"}, packages...)
 	build := exec.CommandContext(t.Context(), "go", arguments...)
-	build.Env = append(os.Environ(), "GOENV=off", "GOFLAGS=", "GOOS=linux", "GOARCH=arm64", "CGO_ENABLED=0")
+	build.Env = append(os.Environ(), "GOFLAGS=-buildvcs=false", "GOOS=linux", "GOARCH=arm64", "CGO_ENABLED=0")
 	listing, err := build.CombinedOutput()
 	if err != nil {
 		t.Fatalf("go build: %v\n%s", err, listing)
