TestWatch awaits the state that the health check reports, not a counter before it

Cause: the event loop counts machines.told when it begins to apply a list (endpoints.go) and publishes its readiness at the end of the step (status.go), some microseconds later. The test awaited the counter and asked once in between. The scheduler is as ready as it says.

Change: the test waits until the scheduler reports that it is not ready, and then checks the status as before.

--- a/internal/platform/endpoint_watch_test.go
+++ b/internal/platform/endpoint_watch_test.go
@@ -128,6 +128,7 @@
 	c.answer(`{"seq":12,"whole":true,"hosts":[]}`)
 	next(t, calls)
 	awaitUpdates(7)
+	await(t, "the list without workers is applied", func() bool { return !p.Ready() })
 	r, _ := client.request(t, "GET /_health HTTP/1.1\r\nHost: x\r\n\r\n")
 	check(t, "health status without workers", r.StatusCode, 503)
 }
