--- a/api.go
+++ b/api.go
@@ -164,6 +164,29 @@
 	if len(c.Gauges) > MaxGauges {
 		return fmt.Errorf("foxlift: Gauges has %d values, want at most %d", len(c.Gauges), MaxGauges)
 	}
+	if err := c.checkClasses(); err != nil {
+		return err
+	}
+	for i, t := range c.Tenants {
+		if t.Quota < 0 || math.IsNaN(t.Quota) {
+			return fmt.Errorf("foxlift: Tenants[%d].Quota is negative or not a number: %v", i, t.Quota)
+		}
+	}
+	for i, b := range c.Bands {
+		if len(b.Ratio) != len(c.Tenants) || b.Width < 0 {
+			return fmt.Errorf("foxlift: Bands[%d] has %d ratios and width %v, "+
+				"want %d ratios (one per tenant) and a width of at least 0",
+				i, len(b.Ratio), b.Width, len(c.Tenants))
+		}
+	}
+	if err := c.checkTimes(); err != nil {
+		return err
+	}
+	return c.checkFinite()
+}
+
+// checkClasses returns an error that names the first invalid class, or nil.
+func (c *Config) checkClasses() error {
 	for i := range c.Classes {
 		k := &c.Classes[i]
 		switch {
@@ -179,18 +202,11 @@
 			return fmt.Errorf("foxlift: Classes[%d].Kind is under -1: %d", i, k.Kind)
 		}
 	}
-	for i, t := range c.Tenants {
-		if t.Quota < 0 || math.IsNaN(t.Quota) {
-			return fmt.Errorf("foxlift: Tenants[%d].Quota is negative or not a number: %v", i, t.Quota)
-		}
-	}
-	for i, b := range c.Bands {
-		if len(b.Ratio) != len(c.Tenants) || b.Width < 0 {
-			return fmt.Errorf("foxlift: Bands[%d] has %d ratios and width %v, "+
-				"want %d ratios (one per tenant) and a width of at least 0",
-				i, len(b.Ratio), b.Width, len(c.Tenants))
-		}
-	}
+	return nil
+}
+
+// checkTimes returns an error that names the first negative time beside those of the classes, or nil.
+func (c *Config) checkTimes() error {
 	// The messages use the names of the settings' keys (mustAskIn, warmAfter), not those of the fields.
 	for _, f := range []struct {
 		name string
@@ -208,7 +224,7 @@
 			return fmt.Errorf("foxlift: %s is negative: %d", f.name, f.time)
 		}
 	}
-	return c.checkFinite()
+	return nil
 }
 
 // A WorkerState is the state of a worker in the endpoint list.
--- a/internal/core/endpoints.go
+++ b/internal/core/endpoints.go
@@ -51,12 +51,10 @@
 		})
 	case foxlift.EndpointsConfirmed:
 		c.recordConfirmation()
-	case foxlift.EndpointsInherited:
+	case foxlift.EndpointsInherited, foxlift.DiscoveryChanged:
 		c.cells.notifyAll(foxlift.Event{
 			Kind: foxlift.EventEndpoints, EndpointUpdate: e.kind, EndpointsFreshFor: int64(e.freshFor),
 		})
-	case foxlift.DiscoveryChanged:
-		c.cells.notifyAll(foxlift.Event{Kind: foxlift.EventEndpoints, EndpointUpdate: e.kind})
 	default:
 		c.counters.Add("machines.told")
 		if e.kind != foxlift.EndpointsCached {
--- a/internal/platform/socket.go
+++ b/internal/platform/socket.go
@@ -56,9 +56,17 @@
 
 // hungUp reports whether the end of the other side's sending has been received, even if data before it is unread.
 func hungUp(fd int) bool {
-	events := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLRDHUP}}
-	n, err := unix.Poll(events, 0)
-	return err == nil && n > 0 && events[0].Revents&(unix.POLLRDHUP|unix.POLLHUP|unix.POLLERR) != 0
+	return pollEvents(fd, unix.POLLRDHUP) != 0
+}
+
+// pollEvents returns which of the events, or of errors and hang-ups, have occurred on a descriptor; 0 if the kernel
+// does not report it.
+func pollEvents(fd int, events int16) int16 {
+	polled := []unix.PollFd{{Fd: int32(fd), Events: events}}
+	if _, err := unix.Poll(polled, 0); err != nil {
+		return 0
+	}
+	return polled[0].Revents
 }
 
 // maxInputAge bounds the result of sinceLastInput.
@@ -95,9 +103,6 @@
 
 // hasPendingConn reports whether the backlog of a listener holds a connection.
 func hasPendingConn(l net.Listener) (pending bool) {
-	withDescriptor(l, func(fd int) {
-		n, err := unix.Poll([]unix.PollFd{{Fd: int32(fd), Events: unix.POLLIN}}, 0)
-		pending = err == nil && n > 0
-	})
+	withDescriptor(l, func(fd int) { pending = pollEvents(fd, unix.POLLIN) != 0 })
 	return pending
 }
--- a/internal/slowstart/slots.go
+++ b/internal/slowstart/slots.go
@@ -28,10 +28,7 @@
 // one light job, so a window has as many slots as jobs, rounded down, but at least 1 and at most
 // maxSlotsPerWindow.
 func NewSlots(window int64, schedulers, index int, jobs float64) Slots {
-	perWindow := int64(1) // also if jobs is not a number, which processors convert to different integers
-	if jobs >= 1 {
-		perWindow = int64(min(maxSlotsPerWindow, jobs))
-	}
+	perWindow := max(1, saturate.Int64(min(maxSlotsPerWindow, jobs)))
 	return Slots{
 		length:     max(1, window/perWindow),
 		schedulers: uint64(max(1, schedulers)),
